--- /dev/null
+++ b/src/main/java/madderrudder/bookkeeping/Journal.java
@@ -0,0 +1,228 @@
+package madderrudder.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import madderrudder.bookkeeping.StoreReply.Outcome;
+import madderrudder.protocol.Fields;
+import madderrudder.protocol.Json;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.StoreCodec;
+import madderrudder.protocol.StoreCodec.Condition;
+import madderrudder.protocol.StoreCodec.Write;
+import madderrudder.transport.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes a leader's changes, one transaction at a time. Each transaction is conditioned on the
+ * version of the term key and rewrites it, so the leader's transactions form a chain: one that is
+ * applied late, or comes from a leader that has been replaced, breaks off and writes nothing.
+ */
+public final class Journal {
+    private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
+    private static final long RETRY_MICROS = 150_000;
+    private static final int MOST_BYTES = 48 * 1024;
+
+    private final Scheduler scheduler;
+    private final StoreClient store;
+    private final String member;
+    private final long term;
+    private final int mostWrites;
+    private final long spacingMicros;
+    private final Runnable onLost;
+    private final Map<String, Change> waiting = new LinkedHashMap<>();
+    private long helmVersion;
+    private long serial;
+    private long nextMicros;
+    private boolean inFlight;
+    private boolean scheduled;
+    private boolean closed;
+
+    /** What one transaction carries. */
+    private record Batch(List<Change> changes, List<Condition> conditions, byte[] body, int writes, long serial) {
+    }
+
+    public Journal(Scheduler scheduler, StoreClient store, String member, long term, long helmVersion, int mostWrites,
+            long spacingMicros, Runnable onLost) {
+        this.scheduler = scheduler;
+        this.store = store;
+        this.member = member;
+        this.term = term;
+        this.helmVersion = helmVersion;
+        this.mostWrites = mostWrites;
+        this.spacingMicros = spacingMicros;
+        this.onLost = onLost;
+    }
+
+    public static byte[] helm(long term, String member, long serial) {
+        return Json.object(out -> {
+            out.writeNumberField("term", term);
+            out.writeStringField("member", member);
+            out.writeNumberField("serial", serial);
+        });
+    }
+
+    public static long readTerm(Fields helm) throws MalformedMessage {
+        return helm.count("term");
+    }
+
+    /** Nothing is sent any more; an answer that still comes is ignored. */
+    public void close() {
+        closed = true;
+        waiting.clear();
+    }
+
+    /** Writes the change soon, together with others named in the same turn. */
+    public void add(Change change) {
+        waiting.putIfAbsent(change.name(), change);
+        flushSoon();
+    }
+
+    /** Transactions keep a distance, so that rewriting the term key takes only a part of the write rate. */
+    private void flushSoon() {
+        if (scheduled || inFlight || closed || waiting.isEmpty()) {
+            return;
+        }
+        scheduled = true;
+        scheduler.after(Math.max(0, nextMicros - scheduler.nowMicros()), () -> {
+            scheduled = false;
+            flush();
+        });
+    }
+
+    public int backlog() {
+        return waiting.size();
+    }
+
+    private void flush() {
+        if (closed || inFlight || waiting.isEmpty()) {
+            return;
+        }
+        Batch batch = build();
+        if (batch != null) {
+            inFlight = true;
+            nextMicros = scheduler.nowMicros() + spacingMicros;
+            send(batch, false);
+        }
+    }
+
+    private Batch build() {
+        List<Change> changes = new ArrayList<>();
+        List<Write> writes = new ArrayList<>();
+        List<Condition> conditions = new ArrayList<>();
+        conditions.add(new Condition(Keys.HELM, helmVersion));
+        serial++;
+        writes.add(Write.put(Keys.HELM, helm(term, member, serial)));
+        int bytes = 512;
+        for (var iterator = waiting.values().iterator(); iterator.hasNext();) {
+            Change change = iterator.next();
+            List<Write> more = change.writes();
+            int size = 0;
+            for (Write write : more) {
+                size += write.key().length() + 64 + (write.value() == null ? 0 : write.value().length);
+            }
+            if (!changes.isEmpty() && (writes.size() + more.size() > mostWrites || bytes + size > MOST_BYTES)) {
+                break;
+            }
+            iterator.remove();
+            changes.add(change);
+            writes.addAll(more);
+            conditions.addAll(change.conditions());
+            bytes += size;
+        }
+        return new Batch(changes, conditions, StoreCodec.commit(conditions, writes), writes.size(), serial);
+    }
+
+    private void send(Batch batch, boolean maybeApplied) {
+        store.commitUrgent(batch.body(), batch.writes(), reply -> {
+            if (closed) {
+                return;
+            }
+            switch (reply.outcome()) {
+                case OK -> applied(batch, reply.value());
+                case CONFLICT -> {
+                    if (maybeApplied && reply.failed().contains(Keys.HELM)) {
+                        lookBack(batch);
+                    } else {
+                        conflict(batch, new HashSet<>(reply.failed()));
+                    }
+                }
+                case REFUSED -> again(() -> send(batch, maybeApplied));
+                // Silence may mean that it was applied, or will be: the same transaction is sent again,
+                // and at most one of the copies can find the term key at the expected version.
+                case UNKNOWN -> again(() -> send(batch, true));
+                default -> lost("the store rejects transactions");
+            }
+        });
+    }
+
+    private void again(Runnable retry) {
+        scheduler.after(RETRY_MICROS, () -> {
+            if (!closed) {
+                retry.run();
+            }
+        });
+    }
+
+    private void applied(Batch batch, long version) {
+        helmVersion = version;
+        inFlight = false;
+        for (Change change : batch.changes()) {
+            change.committed();
+        }
+        flushSoon();
+    }
+
+    /** After a silence: did an earlier copy get through? */
+    private void lookBack(Batch batch) {
+        store.get(Keys.HELM, reply -> {
+            if (closed) {
+                return;
+            }
+            if (reply.is(Outcome.OK)) {
+                try {
+                    Fields helm = reply.value().value();
+                    if (readTerm(helm) == term && helm.count("serial") == batch.serial()) {
+                        applied(batch, reply.value().version());
+                    } else {
+                        lost("another leader has taken over");
+                    }
+                } catch (MalformedMessage e) {
+                    lost("the term key is unreadable");
+                }
+            } else if (reply.is(Outcome.GONE)) {
+                lost("the term key is gone");
+            } else {
+                again(() -> lookBack(batch));
+            }
+        });
+    }
+
+    private void conflict(Batch batch, Set<String> failed) {
+        if (failed.contains(Keys.HELM)) {
+            lost("another leader has taken over");
+            return;
+        }
+        inFlight = false;
+        for (Change change : batch.changes()) {
+            if (change.conditions().stream().anyMatch(c -> failed.contains(c.key()))) {
+                change.rejected();
+            } else {
+                waiting.putIfAbsent(change.name(), change);
+            }
+        }
+        flushSoon();
+    }
+
+    private void lost(String why) {
+        if (!closed) {
+            LOG.info("term {}: {}", term, why);
+            close();
+            onLost.run();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/bookkeeping/Keys.java
@@ -0,0 +1,44 @@
+package madderrudder.bookkeeping;
+
+/** Where things are kept in the store. */
+public final class Keys {
+    /** Attached to the leader's hold; exists only while somebody leads. */
+    public static final String LEAD = "lead/now";
+    public static final String LEAD_PREFIX = "lead/";
+    /** The term, and a count raised by each leader commit, which is conditioned on it. */
+    public static final String HELM = "helm";
+    public static final String LIVE = "l/";
+    public static final String FINISHED = "f/";
+    public static final String PROGRESS = "p/";
+    public static final String MACHINES = "m/";
+    public static final String RENTALS = "r/";
+    public static final String BUDGET = "budget";
+    /** Which machines were there before the first rental. */
+    public static final String OWNED = "owned";
+
+    /** The machine types as the cloud last gave them. */
+    public static final String CATALOG = "catalog";
+
+    private Keys() {
+    }
+
+    public static String live(String job) {
+        return LIVE + job;
+    }
+
+    public static String finished(String job) {
+        return FINISHED + job;
+    }
+
+    public static String progress(String job, int chunk) {
+        return PROGRESS + job + "/" + chunk;
+    }
+
+    public static String machine(String machine) {
+        return MACHINES + machine;
+    }
+
+    public static String rental(String request) {
+        return RENTALS + request;
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/bookkeeping/StoreClient.java
@@ -0,0 +1,147 @@
+package madderrudder.bookkeeping;
+
+import java.util.List;
+import java.util.function.Consumer;
+import madderrudder.bookkeeping.StoreReply.Outcome;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.StoreCodec;
+import madderrudder.protocol.StoreCodec.Condition;
+import madderrudder.protocol.StoreCodec.Item;
+import madderrudder.protocol.StoreCodec.Page;
+import madderrudder.protocol.StoreCodec.Write;
+import madderrudder.transport.HttpCalls;
+import madderrudder.transport.HttpRequest;
+import madderrudder.transport.HttpResponse;
+import madderrudder.transport.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Calls to the state service, paced under its limits, each ending in exactly one reply. */
+public final class StoreClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
+    private static final long CALL_MICROS = 1_500_000;
+    private static final int PAGE = 500;
+
+    private final Scheduler scheduler;
+    private final HttpCalls calls;
+    private final String address;
+    private final Pace requests;
+    private final Pace writes;
+    private long lastOkMicros = Long.MIN_VALUE / 2;
+
+    /** Turns the body of a 200 into a value. */
+    private interface Reader<T> {
+        T read(byte[] body) throws MalformedMessage;
+    }
+
+    public StoreClient(Scheduler scheduler, HttpCalls calls, String address, double requestsPerSecond,
+            double writesPerSecond) {
+        this.scheduler = scheduler;
+        this.calls = calls;
+        this.address = address;
+        requests = new Pace(scheduler, requestsPerSecond, requestsPerSecond);
+        writes = new Pace(scheduler, writesPerSecond, writesPerSecond);
+    }
+
+    /** When the store last did what this node asked. */
+    public long lastOkMicros() {
+        return lastOkMicros;
+    }
+
+    public void get(String key, Consumer<StoreReply<Item>> answer) {
+        ordinary(HttpRequest.get("/store/" + key), StoreCodec::readItem, answer);
+    }
+
+    /** One page of a range, after the key {@code since} (empty for the start). */
+    public void range(String prefix, String since, Consumer<StoreReply<Page>> answer) {
+        String target = "/store?under=" + prefix + (since.isEmpty() ? "" : "&since=" + since) + "&most=" + PAGE;
+        requests.urgent(1);
+        call(HttpRequest.get(target), CALL_MICROS, StoreCodec::readRange, answer);
+    }
+
+    /** Waits for changes under the prefix after the revision. */
+    public void follow(String prefix, long since, long waitMicros, Consumer<StoreReply<Page>> answer) {
+        requests.urgent(1);
+        call(HttpRequest.get("/follow?under=" + prefix + "&since=" + since + "&wait_ms=" + waitMicros / 1000),
+                waitMicros + CALL_MICROS, StoreCodec::readEvents, answer);
+    }
+
+    /** A user's transaction: waits its turn, and is refused when too many wait. */
+    public void commit(List<Condition> conditions, List<Write> changes, Consumer<StoreReply<Long>> answer) {
+        HttpRequest request = HttpRequest.post("/commit", StoreCodec.commit(conditions, changes));
+        boolean queued = writes.ordinary(changes.size(),
+                () -> ordinary(request, StoreCodec::readRevision, answer));
+        if (!queued) {
+            answer.accept(StoreReply.of(Outcome.REFUSED));
+        }
+    }
+
+    /** A leader's transaction: the caller batches, so it is counted but never queued behind users. */
+    public void commitUrgent(byte[] body, int changes, Consumer<StoreReply<Long>> answer) {
+        requests.urgent(1);
+        writes.urgent(changes);
+        call(HttpRequest.post("/commit", body), CALL_MICROS, StoreCodec::readRevision, answer);
+    }
+
+    public void openHold(long lifeMicros, Consumer<StoreReply<Long>> answer) {
+        requests.urgent(1);
+        call(HttpRequest.post("/holds", StoreCodec.hold(lifeMicros)), CALL_MICROS, StoreCodec::readLease, answer);
+    }
+
+    public void extendHold(long lease, Consumer<StoreReply<Boolean>> answer) {
+        requests.urgent(1);
+        call(HttpRequest.post("/holds/" + lease + "/extend", new byte[] {'{', '}'}), CALL_MICROS / 2,
+                body -> true, answer);
+    }
+
+    public void releaseHold(long lease) {
+        requests.urgent(1);
+        call(HttpRequest.delete("/holds/" + lease), CALL_MICROS, body -> true, reply -> { });
+    }
+
+    private <T> void ordinary(HttpRequest request, Reader<T> reader, Consumer<StoreReply<T>> answer) {
+        if (!requests.ordinary(1, () -> call(request, CALL_MICROS, reader, answer))) {
+            answer.accept(StoreReply.of(Outcome.REFUSED));
+        }
+    }
+
+    private <T> void call(HttpRequest request, long timeoutMicros, Reader<T> reader, Consumer<StoreReply<T>> answer) {
+        calls.call(address, request, timeoutMicros, response -> answer.accept(reply(request, response, reader)));
+    }
+
+    private <T> StoreReply<T> reply(HttpRequest request, HttpResponse response, Reader<T> reader) {
+        try {
+            switch (response.status()) {
+                case 200 -> {
+                    T value = reader.read(response.body());
+                    lastOkMicros = scheduler.nowMicros();
+                    return StoreReply.ok(value);
+                }
+                case 404, 410 -> {
+                    lastOkMicros = scheduler.nowMicros();
+                    return StoreReply.of(Outcome.GONE);
+                }
+                case 409 -> {
+                    lastOkMicros = scheduler.nowMicros();
+                    return new StoreReply<>(Outcome.CONFLICT, null, StoreCodec.readFailed(response.body()));
+                }
+                case 400 -> {
+                    LOG.info("store refused {} as malformed: {}", request.target(),
+                            new String(response.body(), java.nio.charset.StandardCharsets.UTF_8));
+                    return StoreReply.of(Outcome.GONE);
+                }
+                case 429, 503, HttpResponse.NOT_SENT -> {
+                    LOG.debug("store refused {}: {}", request.target(), response.status());
+                    return StoreReply.of(Outcome.REFUSED);
+                }
+                default -> {
+                    LOG.debug("store left {} open: {}", request.target(), response.status());
+                    return StoreReply.of(Outcome.UNKNOWN);
+                }
+            }
+        } catch (MalformedMessage e) {
+            LOG.info("store answered {} unreadably: {}", request.target(), e.getMessage());
+            return StoreReply.of(Outcome.UNKNOWN);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/Election.java
@@ -0,0 +1,268 @@
+package madderrudder.coordination;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import madderrudder.bookkeeping.Journal;
+import madderrudder.bookkeeping.Keys;
+import madderrudder.bookkeeping.StoreClient;
+import madderrudder.bookkeeping.StoreReply.Outcome;
+import madderrudder.protocol.Json;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.StoreCodec;
+import madderrudder.protocol.StoreCodec.Condition;
+import madderrudder.protocol.StoreCodec.Item;
+import madderrudder.protocol.StoreCodec.Write;
+import madderrudder.transport.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Finds out who leads, and leads when nobody does. The leader's key hangs on a hold in the store; who
+ * writes it raises the term in the same transaction.
+ */
+public final class Election {
+    private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+    private static final long RETRY_MICROS = 200_000;
+    private static final long CHECK_MICROS = 300_000;
+    private static final long FOLLOW_MICROS = 2_000_000;
+    private static final int EXTENSIONS_PER_HOLD = 4;
+
+    /** What becomes of a node. */
+    public interface Listener {
+        void elected(long term, long helmVersion);
+
+        void deposed();
+    }
+
+    private final Scheduler scheduler;
+    private final StoreClient store;
+    private final RandomGenerator random;
+    private final String member;
+    private final long holdMicros;
+    private final Listener listener;
+    private boolean campaigning;
+    private boolean leading;
+    private long term;
+    private long lease;
+    private long holdEndMicros;
+    private long highestTerm;
+    private String leader;
+    private boolean vacant;
+
+    public Election(Scheduler scheduler, StoreClient store, RandomGenerator random, String member, long holdMicros,
+            Listener listener) {
+        this.scheduler = scheduler;
+        this.store = store;
+        this.random = random;
+        this.member = member;
+        this.holdMicros = holdMicros;
+        this.listener = listener;
+    }
+
+    public void start() {
+        read();
+        scheduler.every(CHECK_MICROS, this::campaignIfVacant);
+    }
+
+    /** The member believed to lead, or null. */
+    public String leader() {
+        return leading ? member : leader;
+    }
+
+    public boolean leading() {
+        return leading;
+    }
+
+    public long highestTerm() {
+        return highestTerm;
+    }
+
+    /** The hold surely lasts, as far as this node's own clock can tell. */
+    public boolean entitled() {
+        return leading && scheduler.nowMicros() < holdEndMicros;
+    }
+
+    /** The moment up to which the hold surely lasts. */
+    public long holdEndMicros() {
+        return holdEndMicros;
+    }
+
+    /** A term heard of from a peer or a worker. Somebody with a higher one has replaced this leader. */
+    public void heard(long otherTerm, String otherLeader) {
+        if (otherTerm > highestTerm) {
+            highestTerm = otherTerm;
+            if (otherLeader != null && !otherLeader.isEmpty()) {
+                leader = otherLeader;
+            }
+            if (leading && otherTerm > term) {
+                stepDown("term " + otherTerm + " heard of");
+            }
+        }
+    }
+
+    public void stepDown(String why) {
+        if (!leading) {
+            return;
+        }
+        LOG.info("stepping down from term {}: {}", term, why);
+        leading = false;
+        store.releaseHold(lease);
+        listener.deposed();
+    }
+
+    private void read() {
+        store.range(Keys.LEAD_PREFIX, "", reply -> {
+            if (!reply.is(Outcome.OK)) {
+                scheduler.after(RETRY_MICROS, this::read);
+                return;
+            }
+            boolean found = false;
+            for (Item item : reply.value().items()) {
+                found |= note(item);
+            }
+            if (!found) {
+                noteVacant();
+            }
+            follow(reply.value().revision());
+        });
+    }
+
+    private void follow(long revision) {
+        store.follow(Keys.LEAD_PREFIX, revision, FOLLOW_MICROS, reply -> {
+            if (reply.is(Outcome.OK)) {
+                for (Item item : reply.value().items()) {
+                    if (!note(item)) {
+                        noteVacant();
+                    }
+                }
+                follow(reply.value().revision());
+            } else if (reply.is(Outcome.GONE)) {
+                read();
+            } else {
+                scheduler.after(RETRY_MICROS, () -> follow(revision));
+            }
+        });
+    }
+
+    private boolean note(Item item) {
+        if (item.value() == null || !item.key().equals(Keys.LEAD)) {
+            return false;
+        }
+        try {
+            long itsTerm = item.value().count("term");
+            String itsMember = item.value().text("member");
+            vacant = false;
+            if (itsTerm >= highestTerm) {
+                leader = itsMember;
+            }
+            heard(itsTerm, itsMember);
+        } catch (MalformedMessage e) {
+            LOG.info("the leader's key is unreadable: {}", e.getMessage());
+        }
+        return true;
+    }
+
+    private void noteVacant() {
+        vacant = true;
+        if (!leading) {
+            leader = null;
+            scheduler.after(random.nextLong(30_000), this::campaignIfVacant);
+        }
+    }
+
+    private void campaignIfVacant() {
+        if (!vacant || leading || campaigning) {
+            return;
+        }
+        campaigning = true;
+        long sentMicros = scheduler.nowMicros();
+        store.openHold(holdMicros, reply -> {
+            if (!reply.is(Outcome.OK)) {
+                campaigning = false;
+                return;
+            }
+            readTerm(reply.value(), sentMicros);
+        });
+    }
+
+    private void readTerm(long newLease, long sentMicros) {
+        store.get(Keys.HELM, reply -> {
+            try {
+                if (reply.is(Outcome.OK)) {
+                    claim(newLease, sentMicros, Journal.readTerm(reply.value().value()), reply.value().version());
+                    return;
+                }
+                if (reply.is(Outcome.GONE)) {
+                    claim(newLease, sentMicros, 0, 0);
+                    return;
+                }
+            } catch (MalformedMessage e) {
+                LOG.error("the term key is unreadable: {}", e.getMessage());
+            }
+            giveUp(newLease);
+        });
+    }
+
+    private void claim(long newLease, long sentMicros, long oldTerm, long helmVersion) {
+        long newTerm = Math.max(oldTerm, highestTerm) + 1;
+        byte[] lead = Json.object(out -> {
+            out.writeNumberField("term", newTerm);
+            out.writeStringField("member", member);
+        });
+        List<Write> writes = List.of(new Write(Keys.LEAD, lead, newLease),
+                Write.put(Keys.HELM, Journal.helm(newTerm, member, 0)));
+        byte[] body = StoreCodec.commit(
+                List.of(new Condition(Keys.LEAD, 0), new Condition(Keys.HELM, helmVersion)), writes);
+        store.commitUrgent(body, writes.size(), reply -> {
+            campaigning = false;
+            // After a silence the claim may still come true; with its hold given back it ends at once.
+            if (!reply.is(Outcome.OK) || highestTerm >= newTerm) {
+                giveUp(newLease);
+                return;
+            }
+            lead(newTerm, newLease, sentMicros, reply.value());
+        });
+    }
+
+    private void giveUp(long newLease) {
+        campaigning = false;
+        store.releaseHold(newLease);
+    }
+
+    private void lead(long newTerm, long newLease, long sentMicros, long helmVersion) {
+        leading = true;
+        vacant = false;
+        term = newTerm;
+        highestTerm = newTerm;
+        lease = newLease;
+        holdEndMicros = Safety.holdEndMicros(sentMicros, holdMicros);
+        LOG.info("leading in term {}", term);
+        listener.elected(term, helmVersion);
+        extendLater(newTerm, holdMicros / EXTENSIONS_PER_HOLD);
+    }
+
+    private void extendLater(long forTerm, long delayMicros) {
+        scheduler.after(delayMicros, () -> {
+            if (leading && term == forTerm) {
+                extend(forTerm);
+            }
+        });
+    }
+
+    private void extend(long forTerm) {
+        long sentMicros = scheduler.nowMicros();
+        store.extendHold(lease, reply -> {
+            if (!leading || term != forTerm) {
+                return;
+            }
+            if (reply.is(Outcome.OK)) {
+                holdEndMicros = Math.max(holdEndMicros, Safety.holdEndMicros(sentMicros, holdMicros));
+                extendLater(forTerm, holdMicros / EXTENSIONS_PER_HOLD);
+            } else if (reply.is(Outcome.GONE)) {
+                stepDown("the hold has ended");
+            } else {
+                extendLater(forTerm, RETRY_MICROS);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/Job.java
@@ -0,0 +1,150 @@
+package madderrudder.coordination;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import madderrudder.protocol.JobSpec;
+import madderrudder.protocol.JobState;
+import madderrudder.protocol.Kind;
+
+/** A job in the leader's picture: which tasks are done, which are held on machines, which wait. */
+public final class Job {
+    private static final long BACKOFF_MICROS = 1_000_000;
+    private static final long MOST_BACKOFF_MICROS = 60_000_000;
+    private static final int FAULTY_AFTER = 4;
+
+    final JobSpec spec;
+    final Team team;
+    /** The version of its key; 0 until known. */
+    final long version;
+    final long acceptedWallMicros;
+    final long seenMicros;
+    final BitSet done = new BitSet();
+    /** Chunks of progress that the store lacks. */
+    final BitSet unwritten = new BitSet();
+    final Set<Assignment> assignments = new LinkedHashSet<>();
+    /** Set when the job is over for its user; its tasks must go. */
+    boolean over;
+    /** The attempt that a gang's tasks share. */
+    long gangAttempt;
+    boolean gangRan;
+    private final BitSet held = new BitSet();
+    private final Map<Integer, Long> waitSince = new HashMap<>();
+    private final Map<Integer, Long> notBefore = new HashMap<>();
+    private final Map<Integer, Integer> errors = new HashMap<>();
+    private final Set<String> erredOn = new LinkedHashSet<>();
+    private int completions;
+
+    Job(JobSpec spec, Team team, long version, long acceptedWallMicros, long nowMicros) {
+        this.spec = spec;
+        this.team = team;
+        this.version = version;
+        this.acceptedWallMicros = acceptedWallMicros;
+        this.seenMicros = nowMicros;
+    }
+
+    void hold(Assignment assignment) {
+        assignments.add(assignment);
+        held.set(assignment.task.index());
+    }
+
+    void release(Assignment assignment, long nowMicros) {
+        assignments.remove(assignment);
+        int index = assignment.task.index();
+        if (assignments.stream().noneMatch(a -> a.task.index() == index)) {
+            held.clear(index);
+            waitSince.put(index, nowMicros);
+        }
+        if (assignments.isEmpty()) {
+            gangAttempt = 0;
+            gangRan = false;
+        }
+    }
+
+    /** The first task from the index on that is neither done nor held, or -1. */
+    int nextWaiting(int from) {
+        int index = from;
+        while (index < spec.tasks()) {
+            int free = held.nextClearBit(index);
+            index = done.nextClearBit(free);
+            if (index == free) {
+                return index < spec.tasks() ? index : -1;
+            }
+        }
+        return -1;
+    }
+
+    int waitingCount() {
+        BitSet taken = (BitSet) done.clone();
+        taken.or(held);
+        return spec.tasks() - taken.cardinality();
+    }
+
+    int undone() {
+        return spec.tasks() - done.cardinality();
+    }
+
+    boolean complete() {
+        return spec.kind() != Kind.SERVICE && undone() == 0;
+    }
+
+    long waitingSinceMicros(int task) {
+        return waitSince.getOrDefault(task, seenMicros);
+    }
+
+    boolean ready(int task, long nowMicros) {
+        return nowMicros >= notBefore.getOrDefault(task, Long.MIN_VALUE);
+    }
+
+    void completed() {
+        completions++;
+    }
+
+    /** A refused start is tried again a little later. */
+    void refused(int task, long nowMicros) {
+        notBefore.put(task, nowMicros + BACKOFF_MICROS);
+    }
+
+    /** A failed task waits longer each time, so that a job with a mistake doesn't spin. */
+    void failed(int task, String machine, long nowMicros) {
+        int count = errors.merge(task, 1, Integer::sum);
+        erredOn.add(machine);
+        long wait = Math.min(MOST_BACKOFF_MICROS, BACKOFF_MICROS << Math.min(count, 10));
+        notBefore.put(task, nowMicros + (faulty() ? wait : Math.min(wait, 2 * BACKOFF_MICROS)));
+    }
+
+    boolean erredOn(String machine) {
+        return erredOn.contains(machine);
+    }
+
+    /** It failed on several machines and never completed a task: not worth renting for. */
+    boolean faulty() {
+        return completions == 0 && done.isEmpty() && erredOn.size() >= FAULTY_AFTER;
+    }
+
+    int inZone(String zone) {
+        int count = 0;
+        for (Assignment assignment : assignments) {
+            if (assignment.machine.zone.equals(zone)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    int runningCount() {
+        int count = 0;
+        for (Assignment assignment : assignments) {
+            if (assignment.running() && !assignment.completed) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    JobState state() {
+        return runningCount() > 0 ? JobState.RUNNING : JobState.PENDING;
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -0,0 +1,279 @@
+package madderrudder.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import madderrudder.bookkeeping.Change;
+import madderrudder.bookkeeping.Keys;
+import madderrudder.bookkeeping.MachineRecord;
+import madderrudder.bookkeeping.StoreClient;
+import madderrudder.protocol.Kind;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.MeshFrame.JobProgress;
+import madderrudder.protocol.Order;
+import madderrudder.protocol.StoreCodec.Item;
+import madderrudder.protocol.StoreCodec.Write;
+import madderrudder.protocol.WorkerReport;
+import madderrudder.transport.HttpCalls;
+import madderrudder.transport.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One term of leading: from reading what the store holds to the loss of the hold. */
+public final class Leader {
+    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+    private static final long TICK_MICROS = 250_000;
+    private static final long SOON_MICROS = 5_000;
+    /** An answer waits this long for records that become durable meanwhile. */
+    private static final long ANSWER_WAIT_MICROS = 250_000;
+    private static final int MOST_PROGRESS = 1_000;
+
+    /** What a leader stands on. */
+    public record Surroundings(Scheduler scheduler, StoreClient store, HttpCalls calls, CloudClient cloud,
+            Catalog catalog, Election election, Deployment deployment, Policy policy, String member) {
+    }
+
+    /** What a worker is answered; null orders mean that this node may not act. */
+    public record Answer(long token, List<Order> orders) {
+    }
+
+    private final Surroundings around;
+    private final Term term;
+    private final Fleet fleet;
+    private final JobBook jobs;
+    private final Rentals rentals;
+    private final WorkerDesk desk;
+    private final Map<String, Waiting> waiting = new HashMap<>();
+    private boolean ready;
+    private boolean planSoon;
+    private int progressFrom;
+
+    private record Waiting(WorkerReport report, Consumer<Answer> answer) {
+    }
+
+    public Leader(Surroundings around, long number, long helmVersion, Runnable onLost) {
+        this.around = around;
+        term = new Term(around, number, helmVersion, onLost);
+        fleet = new Fleet(term);
+        jobs = new JobBook(term, fleet, this::planSoon);
+        rentals = new Rentals(term, fleet, around.cloud());
+        desk = new WorkerDesk(term, fleet, jobs, rentals, this::planSoon);
+        fleet.onDurable(this::durable);
+    }
+
+    public void begin() {
+        long readMicros = term.scheduler.nowMicros();
+        TakeOver.read(term, found -> loadWhenCatalogKnown(found, readMicros));
+    }
+
+    private void loadWhenCatalogKnown(TakeOver.Found found, long readMicros) {
+        if (!around.catalog().known()) {
+            term.after(TICK_MICROS, () -> loadWhenCatalogKnown(found, readMicros));
+            return;
+        }
+        term.cluster.types = around.catalog().types();
+        try {
+            jobs.load(found, readMicros);
+            for (Item item : found.under(Keys.MACHINES)) {
+                inherit(MachineRecord.read(item.key().substring(Keys.MACHINES.length()), item.value()));
+            }
+            rentals.load(found);
+        } catch (MalformedMessage e) {
+            LOG.error("what the store holds is unreadable: {}", e.getMessage());
+            term.election.stepDown("unreadable records");
+            return;
+        }
+        around.catalog().onRefresh(this::saveCatalog);
+        saveCatalog();
+        ready = true;
+        LOG.info("term {}: took over {} jobs and {} machines", term.number, term.cluster.jobs.size(),
+                term.cluster.machines.size());
+        term.every(TICK_MICROS, this::tick);
+    }
+
+    /**
+     * A machine that an earlier leader used may still be answered by that leader for a while, and its
+     * worker's lease begins only after that.
+     */
+    private void inherit(MachineRecord record) {
+        Machine machine = fleet.add(record.id(), record.type(), record.zone(), record.spot(), record.owned(),
+                record.rentedWallMicros());
+        machine.answeredMicros += term.safety.answerMicros();
+        machine.retiring = record.retiring();
+        machine.retiringDurable = record.retiring();
+        for (MachineRecord.Entry entry : record.entries()) {
+            fleet.inherit(machine, entry);
+        }
+    }
+
+    public void end() {
+        term.close();
+        for (Waiting late : waiting.values()) {
+            late.answer().accept(new Answer(term.number, null));
+        }
+        waiting.clear();
+    }
+
+    public boolean ready() {
+        return ready;
+    }
+
+    /**
+     * Reports may be answered while the hold lasts, and for a bounded time after the last news from the
+     * store: long enough for workers to keep their tasks through an outage, and short enough that they
+     * drop a job in time that was cancelled where this node can't see it.
+     */
+    public boolean mayAnswer() {
+        long now = term.scheduler.nowMicros();
+        if (!ready) {
+            return term.election.entitled();
+        }
+        return now < Math.min(jobs.freshMicros(), term.election.holdEndMicros()) + term.safety.answerMicros();
+    }
+
+    /** Takes a worker's report; the answer may come a little later. */
+    public void report(WorkerReport report, Consumer<Answer> answer) {
+        if (!mayAnswer()) {
+            answer.accept(new Answer(term.number, null));
+            return;
+        }
+        if (!ready) {
+            answer.accept(new Answer(term.number, List.of()));
+            return;
+        }
+        if (!desk.take(report)) {
+            answer.accept(new Answer(term.number, List.of()));
+            return;
+        }
+        if (planSoon) {
+            plan();
+        }
+        if (!desk.unsettled(report.machine()) || !term.election.entitled()) {
+            answer.accept(new Answer(term.number, desk.ordersFor(report)));
+            return;
+        }
+        Waiting wait = new Waiting(report, answer);
+        Waiting older = waiting.put(report.machine(), wait);
+        if (older != null) {
+            older.answer().accept(new Answer(term.number, desk.ordersFor(older.report())));
+        }
+        term.after(ANSWER_WAIT_MICROS, () -> {
+            if (waiting.remove(report.machine(), wait)) {
+                answer.accept(new Answer(term.number, desk.ordersFor(report)));
+            }
+        });
+    }
+
+    /** A machine's record has been written: what waited for it may go out. */
+    private void durable(Machine machine) {
+        Waiting wait = waiting.remove(machine.id);
+        if (wait != null) {
+            wait.answer().accept(new Answer(term.number, desk.ordersFor(wait.report())));
+        }
+        desk.push(machine);
+    }
+
+    private void tick() {
+        fleet.lapseSilent(term.scheduler.nowMicros());
+        term.cluster.types = around.catalog().types();
+        plan();
+    }
+
+    private void planSoon() {
+        if (!planSoon) {
+            planSoon = true;
+            term.after(SOON_MICROS, () -> {
+                if (planSoon) {
+                    plan();
+                }
+            });
+        }
+    }
+
+    /** The wanted state is worked out anew from the picture, and the difference is set going. */
+    private void plan() {
+        planSoon = false;
+        if (!ready || !term.election.entitled()) {
+            return;
+        }
+        long now = term.scheduler.nowMicros();
+        desk.sweepGangs();
+        for (Placement placement : Placer.plan(term.cluster, term.policy, now)) {
+            place(placement);
+        }
+        for (Assignment victim : Preemption.plan(term.cluster, now)) {
+            LOG.debug("stopping {} on {} to make room", victim.task, victim.machine.id);
+            victim.unwanted = true;
+        }
+        rentals.reconcile(now);
+        for (Machine machine : term.cluster.machines.values()) {
+            desk.push(machine);
+        }
+    }
+
+    private void place(Placement placement) {
+        Job job = placement.job();
+        long attempt = placement.attempt();
+        if (job.spec.kind() == Kind.GANG) {
+            if (job.gangAttempt == 0) {
+                job.gangAttempt = term.nextAttempt();
+            }
+            attempt = job.gangAttempt;
+        } else {
+            attempt = term.nextAttempt();
+        }
+        fleet.assign(placement.machine(), job, placement.task(), attempt);
+    }
+
+    private void saveCatalog() {
+        byte[] text = around.catalog().text();
+        if (!term.closed() && text != null && text.length < term.deployment.state().valueBytes()) {
+            term.journal.add(new CatalogChange(text));
+        }
+    }
+
+    /** How far a job has come, or null if this leader doesn't know it. */
+    public JobProgress progress(String id) {
+        Job job = ready ? term.cluster.jobs.get(id) : null;
+        return job == null ? null : progress(job);
+    }
+
+    private static JobProgress progress(Job job) {
+        return new JobProgress(job.spec.id(), job.done.cardinality(), job.runningCount());
+    }
+
+    /** The progress of a part of the jobs, a different part each time if there are many. */
+    public List<JobProgress> someProgress() {
+        List<JobProgress> some = new ArrayList<>();
+        List<Job> all = new ArrayList<>(term.cluster.jobs.values());
+        for (int i = 0; i < Math.min(MOST_PROGRESS, all.size()); i++) {
+            some.add(progress(all.get((progressFrom + i) % all.size())));
+        }
+        progressFrom = all.size() <= MOST_PROGRESS ? 0 : (progressFrom + MOST_PROGRESS) % all.size();
+        return some;
+    }
+
+    public long number() {
+        return term.number;
+    }
+
+    /** Keeps the catalogue for nodes that start while the cloud is down. */
+    private record CatalogChange(byte[] text) implements Change {
+        @Override
+        public String name() {
+            return Keys.CATALOG;
+        }
+
+        @Override
+        public List<Write> writes() {
+            return List.of(Write.put(Keys.CATALOG, text));
+        }
+
+        @Override
+        public void committed() {
+            LOG.debug("catalogue kept");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -0,0 +1,139 @@
+package madderrudder.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import madderrudder.bookkeeping.MachineRecord;
+import madderrudder.protocol.MachineType;
+import madderrudder.protocol.Resources;
+import madderrudder.protocol.TaskId;
+
+/** A machine in the leader's picture: what is on it, and what is known of its worker. */
+public final class Machine {
+    private static final int FAULTY_AFTER = 2;
+
+    /** A task under one attempt number. */
+    record Key(TaskId task, long attempt) {
+    }
+
+    /** A task the worker reported that no record names; what it takes is known if its job is. */
+    record Stray(Key key, String team, Resources takes) {
+    }
+
+    final String id;
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    final boolean owned;
+    final long rentedWallMicros;
+    String addr = "";
+    boolean retiring;
+    /** The deletion may be sent: that it is retiring is durable. */
+    boolean retiringDurable;
+    boolean failed;
+    boolean reported;
+    long session;
+    long seq;
+    long token;
+    /** When the last report that was answered came in; before that, when this leader began. */
+    long answeredMicros;
+    /** Silent for so long that its worker has dropped everything. */
+    boolean lapsed;
+    long recallMicros = -1;
+    long idleSinceMicros;
+    long avoidUntilMicros;
+    boolean directInFlight;
+    long directBlockedUntilMicros;
+    final Map<Key, Assignment> assignments = new LinkedHashMap<>();
+    final List<Stray> strays = new ArrayList<>();
+    /** Attempts with a direct start of unknown fate: forgetting them would let it start them again. */
+    final Set<Key> unforgettable = new HashSet<>();
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+    private final Map<String, Long> faults = new HashMap<>();
+
+    Machine(String id, MachineType type, String zone, boolean spot, boolean owned, long rentedWallMicros,
+            long nowMicros) {
+        this.id = id;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.owned = owned;
+        this.rentedWallMicros = rentedWallMicros;
+        answeredMicros = nowMicros;
+        idleSinceMicros = nowMicros;
+    }
+
+    MachineRecord record() {
+        List<MachineRecord.Entry> entries = new ArrayList<>();
+        for (Assignment assignment : assignments.values()) {
+            entries.add(new MachineRecord.Entry(assignment.task, assignment.attempt, assignment.team,
+                    assignment.takes));
+        }
+        return new MachineRecord(id, type.name(), zone, spot, owned, retiring, rentedWallMicros, entries);
+    }
+
+    /** What is left once all that may be on the machine is taken off. */
+    Resources free() {
+        Resources free = type.capacity();
+        for (Assignment assignment : assignments.values()) {
+            if (!assignment.completed) {
+                free = free.minus(assignment.takes);
+            }
+        }
+        for (Stray stray : strays) {
+            free = free.minus(stray.takes());
+        }
+        return free;
+    }
+
+    boolean empty() {
+        return assignments.isEmpty() && strays.isEmpty();
+    }
+
+    /** Rented, not known to be up, and not given up. */
+    boolean booting() {
+        return !owned && !reported && !retiring && !failed && !lapsed;
+    }
+
+    boolean usable(long nowMicros, long reportMicros) {
+        return reported && !retiring && !failed && !lapsed && nowMicros >= avoidUntilMicros
+                && nowMicros - answeredMicros < 3 * reportMicros + 1_000_000;
+    }
+
+    /** The image has been here lately, and the newer ones leave room for it. */
+    boolean hasImage(String image) {
+        return images.containsKey(image);
+    }
+
+    void usedImage(String image, double gb) {
+        images.remove(image);
+        images.put(image, gb);
+        double total = images.values().stream().mapToDouble(Double::doubleValue).sum();
+        var oldest = images.entrySet().iterator();
+        while (total > type.cacheGb() && images.size() > 1) {
+            total -= oldest.next().getValue();
+            oldest.remove();
+        }
+    }
+
+    void forgetImages() {
+        images.clear();
+    }
+
+    /** Errors of different jobs within a while point at the machine. */
+    void fault(String job, long nowMicros, long whileMicros) {
+        faults.values().removeIf(at -> nowMicros - at > whileMicros);
+        faults.put(job, nowMicros);
+        if (faults.size() >= FAULTY_AFTER) {
+            avoidUntilMicros = nowMicros + whileMicros;
+        }
+    }
+
+    boolean faulty(long nowMicros) {
+        return nowMicros < avoidUntilMicros;
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/Placement.java
@@ -0,0 +1,5 @@
+package madderrudder.coordination;
+
+/** A wish: the task shall run on the machine. The attempt is 0 unless it joins a gang under way. */
+public record Placement(Job job, int task, Machine machine, long attempt) {
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/Safety.java
@@ -0,0 +1,24 @@
+package madderrudder.coordination;
+
+/**
+ * The bounds in time that the rules rest on. Two steady clocks may differ by twice the drift of one;
+ * each bound is stretched or cut by more than that.
+ */
+public record Safety(long leaseMicros, long answerMicros) {
+    private static final long SLACK_MICROS = 1_000_000;
+
+    /** Whether a hold may still be counted on, given when its last good extension was sent. */
+    public static long holdEndMicros(long sentMicros, long lifeMicros) {
+        return sentMicros + lifeMicros - lifeMicros / 500 - 20_000;
+    }
+
+    /**
+     * {@code leaseMicros}: after this silence a worker has surely dropped its tasks.
+     * {@code answerMicros}: how long reports may be answered without news from the store, so that a
+     * worker that got the last answer drops a job cancelled meanwhile in time; 0 where no such time is.
+     */
+    public static Safety of(Deployment.WorkerTimes workers) {
+        long lease = workers.leaseMicros() + workers.leaseMicros() / 500 + SLACK_MICROS / 2;
+        return new Safety(lease, Math.max(0, workers.cancelMicros() - lease - SLACK_MICROS));
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/TakeOver.java
@@ -0,0 +1,94 @@
+package madderrudder.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import madderrudder.bookkeeping.Keys;
+import madderrudder.bookkeeping.StoreClient;
+import madderrudder.bookkeeping.StoreReply.Outcome;
+import madderrudder.protocol.StoreCodec.Item;
+
+/** Reads everything a new leader needs, by ranges, until all of it has been read. */
+final class TakeOver {
+    private static final long RETRY_MICROS = 200_000;
+    private static final List<String> PREFIXES = List.of(Keys.LIVE, Keys.PROGRESS, Keys.MACHINES, Keys.RENTALS);
+    private static final List<String> SINGLES = List.of(Keys.BUDGET, Keys.OWNED);
+
+    /** What the store holds; {@code liveRevision} is from where to follow the live jobs. */
+    record Found(Map<String, List<Item>> ranges, Map<String, Item> singles, long liveRevision) {
+        List<Item> under(String prefix) {
+            return ranges.get(prefix);
+        }
+    }
+
+    private final Term term;
+    private final Consumer<Found> done;
+    private final Map<String, List<Item>> ranges = new HashMap<>();
+    private final Map<String, Item> singles = new HashMap<>();
+    private long liveRevision = -1;
+    private int open;
+
+    private TakeOver(Term term, Consumer<Found> done) {
+        this.term = term;
+        this.done = done;
+    }
+
+    static void read(Term term, Consumer<Found> done) {
+        TakeOver reading = new TakeOver(term, done);
+        reading.open = PREFIXES.size() + SINGLES.size();
+        for (String prefix : PREFIXES) {
+            reading.ranges.put(prefix, new ArrayList<>());
+            reading.page(prefix, "");
+        }
+        for (String key : SINGLES) {
+            reading.single(key);
+        }
+    }
+
+    private void page(String prefix, String since) {
+        StoreClient store = term.store;
+        store.range(prefix, since, reply -> {
+            if (term.closed()) {
+                return;
+            }
+            if (!reply.is(Outcome.OK)) {
+                term.after(RETRY_MICROS, () -> page(prefix, since));
+                return;
+            }
+            // What changes while later pages are read comes again through the watch from the first one.
+            if (prefix.equals(Keys.LIVE) && liveRevision < 0) {
+                liveRevision = reply.value().revision();
+            }
+            List<Item> items = reply.value().items();
+            ranges.get(prefix).addAll(items);
+            if (reply.value().more() && !items.isEmpty()) {
+                page(prefix, items.get(items.size() - 1).key());
+            } else {
+                finishOne();
+            }
+        });
+    }
+
+    private void single(String key) {
+        term.store.get(key, reply -> {
+            if (term.closed()) {
+                return;
+            }
+            if (reply.is(Outcome.OK)) {
+                singles.put(key, reply.value());
+            } else if (!reply.is(Outcome.GONE)) {
+                term.after(RETRY_MICROS, () -> single(key));
+                return;
+            }
+            finishOne();
+        });
+    }
+
+    private void finishOne() {
+        if (--open == 0) {
+            done.accept(new Found(ranges, singles, liveRevision));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/Term.java
@@ -0,0 +1,77 @@
+package madderrudder.coordination;
+
+import madderrudder.bookkeeping.Journal;
+import madderrudder.bookkeeping.StoreClient;
+import madderrudder.transport.HttpCalls;
+import madderrudder.transport.Scheduler;
+
+/** What the parts of a leader share while its term lasts. */
+final class Term {
+    private static final int COUNTER_BITS = 24;
+
+    final Scheduler scheduler;
+    final StoreClient store;
+    final HttpCalls calls;
+    final Election election;
+    final Deployment deployment;
+    final Policy policy;
+    final Safety safety;
+    final long number;
+    final Journal journal;
+    final Cluster cluster;
+    private long attempts;
+    private long charters;
+    private boolean closed;
+
+    Term(Leader.Surroundings around, long number, long helmVersion, Runnable onLost) {
+        scheduler = around.scheduler();
+        store = around.store();
+        calls = around.calls();
+        election = around.election();
+        deployment = around.deployment();
+        policy = around.policy();
+        safety = Safety.of(deployment.workers());
+        this.number = number;
+        // A quarter of the store's write rate may go to rewriting the term key.
+        long spacing = (long) (4e6 / deployment.state().writesPerSecond());
+        journal = new Journal(scheduler, store, around.member(), number, helmVersion,
+                deployment.state().transactionWrites(), spacing, onLost);
+        cluster = new Cluster(deployment);
+    }
+
+    /** Attempt numbers embed the term, so that no other leader ever gives the same one. */
+    long nextAttempt() {
+        return (number << COUNTER_BITS) + ++attempts;
+    }
+
+    /** Request names embed the term too: the cloud answers a repeated one with the first answer. */
+    String nextCharter() {
+        return "t" + number + "-" + ++charters;
+    }
+
+    void close() {
+        closed = true;
+        journal.close();
+    }
+
+    boolean closed() {
+        return closed;
+    }
+
+    /** Repeats the action until the term ends. */
+    void every(long periodMicros, Runnable action) {
+        after(periodMicros, () -> {
+            action.run();
+            every(periodMicros, action);
+        });
+    }
+
+    /** Runs the action later, unless the term has ended by then. */
+    void after(long delayMicros, Runnable action) {
+        scheduler.after(delayMicros, () -> {
+            if (!closed) {
+                action.run();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -0,0 +1,335 @@
+package madderrudder.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import madderrudder.protocol.Kind;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.Order;
+import madderrudder.protocol.Resources;
+import madderrudder.protocol.TaskReport;
+import madderrudder.protocol.TaskReport.Phase;
+import madderrudder.protocol.TaskReport.Why;
+import madderrudder.protocol.WorkerCodec;
+import madderrudder.protocol.WorkerReport;
+import madderrudder.transport.HttpRequest;
+import madderrudder.transport.HttpResponse;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings what workers report and what is wished of them together. Starts go out only for durable
+ * records; a record goes only when the worker can no longer come to have the task.
+ */
+final class WorkerDesk {
+    private static final Logger LOG = LoggerFactory.getLogger(WorkerDesk.class);
+    private static final long DIRECT_MICROS = 2_500_000;
+    private static final long DIRECT_PAUSE_MICROS = 10_000_000;
+    private static final long FAULT_MICROS = 120_000_000;
+    private static final long STOP_AGAIN_MICROS = 1_000_000;
+
+    private final Term term;
+    private final Fleet fleet;
+    private final JobBook jobs;
+    private final Rentals rentals;
+    private final Runnable onRoom;
+
+    WorkerDesk(Term term, Fleet fleet, JobBook jobs, Rentals rentals, Runnable onRoom) {
+        this.term = term;
+        this.fleet = fleet;
+        this.jobs = jobs;
+        this.rentals = rentals;
+        this.onRoom = onRoom;
+    }
+
+    /** Takes a report in; false if it is older than what is known. */
+    boolean take(WorkerReport report) {
+        Machine machine = term.cluster.machines.get(report.machine());
+        if (machine == null) {
+            if (fleet.wasRemoved(report.machine())) {
+                return false;
+            }
+            machine = fleet.add(report.machine(), report.type(), report.zone(), report.spot(),
+                    rentals.ownedStillOpen(), term.scheduler.wallMicros());
+            LOG.info("{} reports ({} {}{}), {}", machine.id, report.type(), report.zone(),
+                    report.spot() ? " spot" : "", machine.owned ? "owned" : "rented");
+            fleet.save(machine);
+        } else if (machine.reported && !report.newerThan(machine.session, machine.seq)) {
+            return false;
+        }
+        long now = term.scheduler.nowMicros();
+        if (machine.reported && report.session() > machine.session) {
+            newSession(machine);
+        }
+        boolean first = !machine.reported;
+        if (first || machine.lapsed) {
+            machine.idleSinceMicros = now;
+            LOG.info("{} is here", machine.id);
+        }
+        machine.reported = true;
+        machine.lapsed = false;
+        machine.failed = false;
+        machine.session = report.session();
+        machine.seq = report.seq();
+        machine.token = report.token();
+        machine.addr = report.addr().isEmpty() ? machine.addr : report.addr();
+        machine.recallMicros = report.noticeMicros() < 0 ? -1 : now + report.noticeMicros();
+        boolean room = apply(machine, report.tasks(), now);
+        room |= vanish(machine, report);
+        if (room || first) {
+            onRoom.run();
+        }
+        return true;
+    }
+
+    /** The worker's lease ran out in between: it forgot everything, and old commands no longer fit. */
+    private void newSession(Machine machine) {
+        LOG.info("{} begins a new session", machine.id);
+        fleet.releaseAll(machine);
+        machine.forgetImages();
+    }
+
+    /** Follows the states of the tasks that the worker has; true if room came free. */
+    private boolean apply(Machine machine, List<TaskReport> tasks, long now) {
+        boolean room = !machine.strays.isEmpty();
+        machine.strays.clear();
+        for (TaskReport task : tasks) {
+            Machine.Key key = new Machine.Key(task.task(), task.attempt());
+            Assignment assignment = machine.assignments.get(key);
+            if (assignment == null) {
+                stray(machine, key, task);
+            } else if (task.phase() == Phase.EXITED) {
+                room |= exited(assignment, task, now);
+            } else {
+                progressed(assignment, task.phase(), now);
+            }
+        }
+        return room;
+    }
+
+    private void stray(Machine machine, Machine.Key key, TaskReport task) {
+        Job job = term.cluster.jobs.get(key.task().job());
+        if (task.phase() != Phase.EXITED) {
+            machine.strays.add(new Machine.Stray(key, job == null ? "" : job.spec.team(),
+                    job == null ? Resources.NONE : job.spec.perTask()));
+        }
+    }
+
+    private static void progressed(Assignment assignment, Phase phase, long now) {
+        if (phase != Phase.FETCHING && assignment.phase != phase && assignment.job != null) {
+            assignment.machine.usedImage(assignment.job.spec.image(), assignment.job.spec.imageGb());
+        }
+        if (phase == Phase.RUNNING && assignment.runningMicros < 0) {
+            assignment.runningMicros = now;
+            if (assignment.job != null) {
+                assignment.job.gangRan = true;
+            }
+        }
+        assignment.phase = phase;
+    }
+
+    private boolean exited(Assignment assignment, TaskReport task, long now) {
+        if (assignment.completed) {
+            return false;
+        }
+        assignment.phase = Phase.EXITED;
+        Machine machine = assignment.machine;
+        Job job = assignment.job;
+        LOG.debug("{} attempt {} exited on {}: {}", task.task(), task.attempt(), machine.id, task.why());
+        if (task.why() == Why.DONE) {
+            if (job != null) {
+                machine.usedImage(job.spec.image(), job.spec.imageGb());
+            }
+            jobs.completed(assignment);
+            return true;
+        }
+        if (assignment.directOpen) {
+            machine.unforgettable.add(new Machine.Key(assignment.task, assignment.attempt));
+        }
+        fleet.release(assignment);
+        if (job != null && !job.over) {
+            switch (task.why()) {
+                case ERROR -> {
+                    job.failed(task.task().index(), machine.id, now);
+                    if (!job.faulty()) {
+                        machine.fault(job.spec.id(), now, FAULT_MICROS);
+                    }
+                }
+                case NO_ROOM, BUSY, UNKNOWN -> job.refused(task.task().index(), now);
+                default -> { }
+            }
+        }
+        return true;
+    }
+
+    /** Drops records of tasks that the worker neither has nor can still be told to start. */
+    private boolean vanish(Machine machine, WorkerReport report) {
+        Map<Machine.Key, TaskReport> has = index(report.tasks());
+        boolean room = false;
+        for (Assignment assignment : List.copyOf(machine.assignments.values())) {
+            if (has.containsKey(new Machine.Key(assignment.task, assignment.attempt)) || assignment.completed) {
+                continue;
+            }
+            // A worker that has seen this term's token takes no command of an earlier leader any more. Answers
+            // to reports are dropped once the next report is under way, so a newer one settles an unseen start.
+            boolean cannotCome = assignment.inherited ? report.token() >= term.number
+                    : !assignment.directOpen && report.seq() > assignment.startSeq;
+            if (cannotCome && (assignment.unwanted || assignment.seen())) {
+                fleet.release(assignment);
+                room = true;
+            }
+        }
+        return room;
+    }
+
+    private static Map<Machine.Key, TaskReport> index(List<TaskReport> tasks) {
+        Map<Machine.Key, TaskReport> index = new HashMap<>();
+        for (TaskReport task : tasks) {
+            index.put(new Machine.Key(task.task(), task.attempt()), task);
+        }
+        return index;
+    }
+
+    /** Whether the machine waits for a record to become durable that an answer could then carry. */
+    boolean unsettled(String id) {
+        Machine machine = term.cluster.machines.get(id);
+        return machine != null && machine.assignments.values().stream().anyMatch(a -> !a.durable || a.completed);
+    }
+
+    /** The commands for the report's answer. To be called when the answer is sent. */
+    List<Order> ordersFor(WorkerReport report) {
+        Machine machine = term.cluster.machines.get(report.machine());
+        if (machine == null) {
+            return List.of();
+        }
+        long now = term.scheduler.nowMicros();
+        machine.answeredMicros = Math.max(machine.answeredMicros, now);
+        if (machine.session != report.session() || machine.seq != report.seq()) {
+            return List.of();
+        }
+        List<Order> orders = new ArrayList<>();
+        Map<Machine.Key, TaskReport> has = index(report.tasks());
+        for (TaskReport task : report.tasks()) {
+            Machine.Key key = new Machine.Key(task.task(), task.attempt());
+            Assignment assignment = machine.assignments.get(key);
+            if (task.phase() == Phase.EXITED) {
+                if (assignment == null && !machine.unforgettable.contains(key)) {
+                    orders.add(Order.forget(key.task(), key.attempt()));
+                }
+            } else if (assignment == null) {
+                orders.add(Order.stop(key.task(), key.attempt(), 0));
+            } else if (assignment.unwanted) {
+                orders.add(stop(assignment, now));
+            }
+        }
+        for (Assignment assignment : machine.assignments.values()) {
+            if (startable(assignment) && !has.containsKey(new Machine.Key(assignment.task, assignment.attempt))) {
+                orders.add(Order.start(assignment.task, assignment.attempt));
+                assignment.startSent = true;
+                assignment.startSeq = report.seq();
+            }
+        }
+        return orders;
+    }
+
+    private boolean startable(Assignment assignment) {
+        return assignment.durable && !assignment.unwanted && !assignment.completed && assignment.job != null
+                && !assignment.job.over && !assignment.machine.retiring && term.election.entitled();
+    }
+
+    private Order stop(Assignment assignment, long now) {
+        if (assignment.stopSentMicros < 0) {
+            assignment.stopSentMicros = now;
+        }
+        Job job = assignment.job;
+        boolean saves = job != null && !job.over && job.spec.checkpointMicros() > 0;
+        long grace = saves ? job.spec.saveMicros() + term.deployment.workers().gangPeerMicros() : 0;
+        return Order.stop(assignment.task, assignment.attempt, grace);
+    }
+
+    /** Sends what can't wait for the next report straight to the worker. */
+    void push(Machine machine) {
+        long now = term.scheduler.nowMicros();
+        if (machine.directInFlight || machine.addr.isEmpty() || now < machine.directBlockedUntilMicros
+                || !machine.usable(now, term.deployment.workers().reportMicros()) || term.closed()) {
+            return;
+        }
+        List<Order> orders = new ArrayList<>();
+        List<Assignment> starts = new ArrayList<>();
+        for (Assignment assignment : machine.assignments.values()) {
+            if (startable(assignment) && !assignment.startSent && !assignment.inherited) {
+                orders.add(Order.start(assignment.task, assignment.attempt));
+                starts.add(assignment);
+            } else if (assignment.unwanted && assignment.seen() && !assignment.completed
+                    && assignment.phase != Phase.EXITED
+                    && (assignment.stopSentMicros < 0 || now - assignment.stopSentMicros > STOP_AGAIN_MICROS)) {
+                assignment.stopSentMicros = now;
+                orders.add(stop(assignment, now));
+            }
+        }
+        if (orders.isEmpty() || !madderrudder.transport.Addresses.valid(machine.addr)) {
+            return;
+        }
+        for (Assignment start : starts) {
+            start.startSent = true;
+            start.directOpen = true;
+        }
+        machine.directInFlight = true;
+        long session = machine.session;
+        HttpRequest request = HttpRequest.post("/orders", WorkerCodec.direct(term.number, session, orders));
+        term.calls.call(machine.addr, request, DIRECT_MICROS, response -> {
+            machine.directInFlight = false;
+            if (!term.closed()) {
+                answered(machine, session, starts, response);
+            }
+        });
+    }
+
+    private void answered(Machine machine, long session, List<Assignment> starts, HttpResponse response) {
+        int status = response.status();
+        if (status == HttpResponse.NOT_SENT || status == 200 || status == 409 || status == 400) {
+            starts.forEach(start -> start.directOpen = false);
+        }
+        if (status != 200) {
+            machine.directBlockedUntilMicros = term.scheduler.nowMicros() + DIRECT_PAUSE_MICROS;
+        }
+        if (status == 200 || status == 409) {
+            try {
+                WorkerReport report = WorkerCodec.readReport(response.body());
+                if (report.token() > term.number) {
+                    term.election.heard(report.token(), null);
+                } else if (status == 200 && report.machine().equals(machine.id)) {
+                    settle(machine, session, starts, report);
+                }
+            } catch (MalformedMessage e) {
+                LOG.info("{} answered commands unreadably: {}", machine.id, e.getMessage());
+            }
+        }
+    }
+
+    /** The worker's state after direct commands: it tells what is there, never what is not. */
+    private void settle(Machine machine, long session, List<Assignment> starts, WorkerReport report) {
+        if (machine.session != session || !report.newerThan(machine.session, machine.seq)) {
+            return;
+        }
+        machine.seq = report.seq();
+        starts.forEach(start -> start.startSeq = Math.max(start.startSeq, report.seq()));
+        if (apply(machine, report.tasks(), term.scheduler.nowMicros())) {
+            onRoom.run();
+        }
+    }
+
+    /** Gangs that lost a task, or whose stop has begun, go as a whole. */
+    void sweepGangs() {
+        for (Job job : term.cluster.jobs.values()) {
+            if (job.spec.kind() == Kind.GANG && !job.assignments.isEmpty() && !job.complete()) {
+                boolean broken = job.assignments.stream().anyMatch(a -> a.unwanted)
+                        || job.gangRan && job.nextWaiting(0) >= 0;
+                if (broken) {
+                    job.assignments.forEach(a -> a.unwanted = true);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/service/Node.java
@@ -0,0 +1,231 @@
+package madderrudder.service;
+
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import madderrudder.bookkeeping.StoreClient;
+import madderrudder.coordination.Catalog;
+import madderrudder.coordination.CloudClient;
+import madderrudder.coordination.Election;
+import madderrudder.coordination.Leader;
+import madderrudder.coordination.Policy;
+import madderrudder.protocol.Json;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.MeshFrame;
+import madderrudder.protocol.MeshFrame.JobProgress;
+import madderrudder.protocol.WorkerCodec;
+import madderrudder.protocol.WorkerReport;
+import madderrudder.transport.HttpCalls;
+import madderrudder.transport.HttpExchange;
+import madderrudder.transport.HttpRequest;
+import madderrudder.transport.HttpResponse;
+import madderrudder.transport.Peers;
+import madderrudder.transport.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One controller: routes requests to the desks, and leads while elected. It knows its clock, network
+ * and randomness only through what it is given.
+ */
+public final class Node implements HttpExchange {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final long PULSE_MICROS = 400_000;
+    private static final long STORE_SILENT_MICROS = 4_500_000;
+    private static final long PEER_SILENT_MICROS = 2_000_000;
+    private static final int MOST_PROGRESS = 5_000;
+    private static final int PULSES_PER_PROGRESS = 2;
+    private static final String JOBS = "/v1/jobs";
+    private static final String WITHDRAW = "/withdraw";
+
+    private final Scheduler scheduler;
+    private final Settings settings;
+    private final StoreClient store;
+    private final Catalog catalog;
+    private final Election election;
+    private final UserDesk users;
+    private final Peers peers;
+    private final Leader.Surroundings surroundings;
+    private final Map<String, Heard> heard = new HashMap<>();
+    private final Map<String, JobProgress> told = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, JobProgress> eldest) {
+            return size() > MOST_PROGRESS;
+        }
+    };
+    private Leader leader;
+    private int pulses;
+    private boolean malformedLogged;
+
+    /** What a peer last said, and when. */
+    private record Heard(boolean storeAnswers, long atMicros) {
+    }
+
+    public Node(Scheduler scheduler, HttpCalls calls, Peers peers, RandomGenerator random, Settings settings,
+            Policy policy) {
+        this.scheduler = scheduler;
+        this.settings = settings;
+        this.peers = peers;
+        var deployment = settings.deployment();
+        // What users ask for is spread over the nodes; the leader's own calls come on top, uncounted here.
+        double share = 0.75 / deployment.members();
+        store = new StoreClient(scheduler, calls, settings.stateAddress(),
+                deployment.state().requestsPerSecond() * share, deployment.state().writesPerSecond() * share);
+        CloudClient cloud = new CloudClient(scheduler, calls, settings.cloudAddress(),
+                deployment.cloud().requestsPerSecond());
+        catalog = new Catalog(scheduler, store, cloud);
+        election = new Election(scheduler, store, random, settings.member(), policy.holdMicros(),
+                new Election.Listener() {
+                    @Override
+                    public void elected(long term, long helmVersion) {
+                        lead(term, helmVersion);
+                    }
+
+                    @Override
+                    public void deposed() {
+                        endLeading();
+                    }
+                });
+        users = new UserDesk(scheduler, store, catalog, deployment.teams(), deployment.state().valueBytes(),
+                this::progress);
+        surroundings = new Leader.Surroundings(scheduler, store, calls, cloud, catalog, election, deployment, policy,
+                settings.member());
+    }
+
+    public void start() {
+        catalog.start();
+        election.start();
+        scheduler.every(PULSE_MICROS, this::pulse);
+    }
+
+    private void lead(long term, long helmVersion) {
+        leader = new Leader(surroundings, term, helmVersion, () -> election.stepDown("the chain of commits broke"));
+        leader.begin();
+    }
+
+    private void endLeading() {
+        if (leader != null) {
+            leader.end();
+            leader = null;
+        }
+    }
+
+    private void pulse() {
+        String name = election.leader();
+        peers.broadcast(MeshFrame.encode(new MeshFrame.Pulse(settings.member(), election.highestTerm(),
+                name == null ? "" : name, storeAnswers())));
+        if (leader != null && leader.ready() && ++pulses % PULSES_PER_PROGRESS == 0) {
+            peers.broadcast(MeshFrame.encode(new MeshFrame.Progress(leader.number(), leader.someProgress())));
+        }
+    }
+
+    /** A frame from another controller. */
+    public void frame(ByteBuffer bytes) {
+        try {
+            MeshFrame frame = MeshFrame.decode(bytes);
+            if (frame instanceof MeshFrame.Pulse pulse) {
+                heard.put(pulse.member(), new Heard(pulse.storeAnswers(), scheduler.nowMicros()));
+                election.heard(pulse.term(), pulse.leader());
+            } else if (frame instanceof MeshFrame.Progress progress && progress.term() >= election.highestTerm()) {
+                progress.jobs().forEach(job -> told.put(job.job(), job));
+            }
+        } catch (MalformedMessage e) {
+            logMalformed("a peer", e);
+        }
+    }
+
+    private boolean storeAnswers() {
+        return scheduler.nowMicros() - store.lastOkMicros() < STORE_SILENT_MICROS;
+    }
+
+    /**
+     * Cut off from the store alone, users are better served elsewhere. If no peer reaches it either, going
+     * unhealthy would only keep users away for longer once it is back.
+     */
+    private boolean healthy() {
+        if (!catalog.known()) {
+            return false;
+        }
+        if (storeAnswers()) {
+            return true;
+        }
+        long now = scheduler.nowMicros();
+        return heard.values().stream()
+                .noneMatch(peer -> peer.storeAnswers() && now - peer.atMicros() < PEER_SILENT_MICROS);
+    }
+
+    private JobProgress progress(String id) {
+        JobProgress own = leader == null ? null : leader.progress(id);
+        return own != null ? own : told.get(id);
+    }
+
+    @Override
+    public void handle(HttpRequest request, Consumer<HttpResponse> answer) {
+        String path = request.path();
+        if (path.equals("/healthz")) {
+            only("GET", request, answer, () -> answer.accept(healthy()
+                    ? HttpResponse.of(200, Json.object(out -> out.writeBooleanField("ok", true)))
+                    : UserDesk.unavailable("not ready")));
+        } else if (path.equals("/hello")) {
+            only("POST", request, answer, () -> report(request.body(), answer));
+        } else if (path.equals(JOBS)) {
+            only("POST", request, answer, () -> users.submit(request.body(), answer));
+        } else if (path.startsWith(JOBS + "/") && path.endsWith(WITHDRAW)) {
+            String id = path.substring(JOBS.length() + 1, path.length() - WITHDRAW.length());
+            only("POST", request, answer, () -> users.withdraw(id, answer));
+        } else if (path.startsWith(JOBS + "/")) {
+            only("GET", request, answer, () -> users.poll(path.substring(JOBS.length() + 1), answer));
+        } else {
+            answer.accept(HttpResponse.of(404, Json.error("no such path")));
+        }
+    }
+
+    private static void only(String method, HttpRequest request, Consumer<HttpResponse> answer, Runnable action) {
+        if (request.method().equals(method)) {
+            action.run();
+        } else {
+            answer.accept(HttpResponse.of(405, Json.error("only " + method + " here")));
+        }
+    }
+
+    private void report(byte[] body, Consumer<HttpResponse> answer) {
+        WorkerReport report;
+        try {
+            report = WorkerCodec.readReport(body);
+        } catch (MalformedMessage e) {
+            logMalformed("a worker", e);
+            answer.accept(HttpResponse.of(400, Json.error(e.getMessage())));
+            return;
+        }
+        election.heard(report.token(), null);
+        if (leader == null) {
+            redirect(answer);
+            return;
+        }
+        leader.report(report, reply -> {
+            if (reply.orders() == null) {
+                redirect(answer);
+            } else {
+                answer.accept(HttpResponse.of(200, WorkerCodec.answer(reply.token(), reply.orders())));
+            }
+        });
+    }
+
+    private void redirect(Consumer<HttpResponse> answer) {
+        String name = election.leader();
+        boolean other = name != null && !name.equals(settings.member());
+        answer.accept(HttpResponse.of(421, WorkerCodec.redirect(other ? name : null)));
+    }
+
+    private void logMalformed(String who, MalformedMessage cause) {
+        if (malformedLogged) {
+            LOG.debug("malformed message from {}: {}", who, cause.getMessage());
+        } else {
+            malformedLogged = true;
+            LOG.info("malformed message from {}: {} (further ones at level debug)", who, cause.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/service/UserDesk.java
@@ -0,0 +1,235 @@
+package madderrudder.service;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import madderrudder.bookkeeping.JobRecords;
+import madderrudder.bookkeeping.Keys;
+import madderrudder.bookkeeping.StoreClient;
+import madderrudder.bookkeeping.StoreReply;
+import madderrudder.bookkeeping.StoreReply.Outcome;
+import madderrudder.coordination.Catalog;
+import madderrudder.coordination.Team;
+import madderrudder.protocol.Fields;
+import madderrudder.protocol.JobCodec;
+import madderrudder.protocol.JobSpec;
+import madderrudder.protocol.JobState;
+import madderrudder.protocol.Json;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.MeshFrame.JobProgress;
+import madderrudder.protocol.StoreCodec.Condition;
+import madderrudder.protocol.StoreCodec.Item;
+import madderrudder.protocol.StoreCodec.Write;
+import madderrudder.transport.HttpResponse;
+import madderrudder.transport.Scheduler;
+
+/**
+ * Serves users on any node. Whether a job is live, done or cancelled is always read from the store, so
+ * no node can give an older answer than another; only endings, which never change, are remembered.
+ */
+final class UserDesk {
+    private static final int MOST_REMEMBERED = 5_000;
+    private static final int RETRY_AFTER_S = 1;
+    private static final int MOST_TRIES = 4;
+
+    private final Scheduler scheduler;
+    private final StoreClient store;
+    private final Catalog catalog;
+    private final Map<String, Team> teams;
+    private final int mostValueBytes;
+    private final Function<String, JobProgress> progress;
+    private final Map<String, JobRecords.Finished> remembered = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, JobRecords.Finished> eldest) {
+            return size() > MOST_REMEMBERED;
+        }
+    };
+
+    /** What the store says of a job: live, finished, or neither. */
+    private record Known(JobRecords.Live live, long version, JobRecords.Finished finished) {
+    }
+
+    UserDesk(Scheduler scheduler, StoreClient store, Catalog catalog, Map<String, Team> teams, int mostValueBytes,
+            Function<String, JobProgress> progress) {
+        this.scheduler = scheduler;
+        this.store = store;
+        this.catalog = catalog;
+        this.teams = teams;
+        this.mostValueBytes = mostValueBytes;
+        this.progress = progress;
+    }
+
+    static HttpResponse unavailable(String why) {
+        return new HttpResponse(503, Json.error(why), RETRY_AFTER_S, false);
+    }
+
+    void submit(byte[] body, Consumer<HttpResponse> answer) {
+        Fields fields;
+        String id;
+        try {
+            fields = Json.readObject(body);
+            id = JobCodec.readId(fields);
+        } catch (MalformedMessage e) {
+            answer.accept(HttpResponse.of(400, Json.error(e.getMessage())));
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = JobCodec.read(fields);
+        } catch (MalformedMessage e) {
+            refuse(id, HttpResponse.of(400, Json.error(e.getMessage())), answer);
+            return;
+        }
+        if (!catalog.known()) {
+            refuse(id, unavailable("the machine types are not known yet"), answer);
+            return;
+        }
+        String impossible = JobRules.impossible(spec, teams, catalog.types().values());
+        if (impossible != null) {
+            refuse(id, HttpResponse.of(422, Json.error(impossible)), answer);
+            return;
+        }
+        byte[] record = JobRecords.live(spec, scheduler.wallMicros());
+        if (record.length > mostValueBytes) {
+            refuse(id, HttpResponse.of(400, Json.error("the job is too large to be kept")), answer);
+            return;
+        }
+        accept(id, record, answer);
+    }
+
+    /** A known job is answered as known, whatever the repeated submission looks like. */
+    private void refuse(String id, HttpResponse refusal, Consumer<HttpResponse> answer) {
+        find(id, known -> answer.accept(known == null ? unavailable("the store does not answer")
+                : known.live() == null && known.finished() == null ? refusal : submitted(200, id, known)));
+    }
+
+    private void accept(String id, byte[] record, Consumer<HttpResponse> answer) {
+        List<Condition> absent = List.of(new Condition(Keys.live(id), 0), new Condition(Keys.finished(id), 0));
+        store.commit(absent, List.of(Write.put(Keys.live(id), record)), reply -> {
+            if (reply.is(Outcome.OK)) {
+                answer.accept(HttpResponse.of(201, JobCodec.state(id, JobState.PENDING)));
+            } else if (reply.is(Outcome.CONFLICT)) {
+                refuse(id, unavailable("the job's state is changing"), answer);
+            } else {
+                answer.accept(unavailable("the store does not answer"));
+            }
+        });
+    }
+
+    private HttpResponse submitted(int status, String id, Known known) {
+        JobState state = known.finished() != null ? known.finished().state() : liveState(id);
+        return HttpResponse.of(status, JobCodec.state(id, state));
+    }
+
+    private JobState liveState(String id) {
+        JobProgress now = progress.apply(id);
+        return now != null && now.running() > 0 ? JobState.RUNNING : JobState.PENDING;
+    }
+
+    void poll(String id, Consumer<HttpResponse> answer) {
+        if (!JobCodec.validId(id)) {
+            answer.accept(HttpResponse.of(404, Json.error("no such job")));
+            return;
+        }
+        find(id, known -> answer.accept(polled(id, known)));
+    }
+
+    private HttpResponse polled(String id, Known known) {
+        if (known == null) {
+            return unavailable("the store does not answer");
+        }
+        if (known.finished() != null) {
+            return HttpResponse.of(200,
+                    JobCodec.status(id, known.finished().state(), known.finished().done(), 0));
+        }
+        if (known.live() == null) {
+            return HttpResponse.of(404, Json.error("no such job"));
+        }
+        JobProgress now = progress.apply(id);
+        int done = now == null ? 0 : Math.min(now.done(), known.live().spec().tasks());
+        return HttpResponse.of(200, JobCodec.status(id, liveState(id), done, now == null ? 0 : now.running()));
+    }
+
+    void withdraw(String id, Consumer<HttpResponse> answer) {
+        if (!JobCodec.validId(id)) {
+            answer.accept(HttpResponse.of(404, Json.error("no such job")));
+            return;
+        }
+        withdraw(id, MOST_TRIES, answer);
+    }
+
+    private void withdraw(String id, int tries, Consumer<HttpResponse> answer) {
+        find(id, known -> {
+            if (known == null || tries == 0) {
+                answer.accept(unavailable("the store does not answer"));
+            } else if (known.finished() != null) {
+                answer.accept(submitted(200, id, known));
+            } else if (known.live() == null) {
+                answer.accept(HttpResponse.of(404, Json.error("no such job")));
+            } else {
+                cancel(id, known, tries, answer);
+            }
+        });
+    }
+
+    private void cancel(String id, Known known, int tries, Consumer<HttpResponse> answer) {
+        JobProgress now = progress.apply(id);
+        JobRecords.Finished end = new JobRecords.Finished(JobState.CANCELLED, now == null ? 0 : now.done());
+        List<Write> writes = List.of(Write.drop(Keys.live(id)),
+                Write.put(Keys.finished(id), JobRecords.finished(end.state(), end.done())));
+        store.commit(List.of(new Condition(Keys.live(id), known.version())), writes, reply -> {
+            if (reply.is(Outcome.OK)) {
+                remembered.put(id, end);
+                answer.accept(HttpResponse.of(200, JobCodec.state(id, JobState.CANCELLED)));
+            } else if (reply.is(Outcome.CONFLICT)) {
+                withdraw(id, tries - 1, answer);
+            } else {
+                answer.accept(unavailable("the store does not answer"));
+            }
+        });
+    }
+
+    /** Looks the job up, live first and then finished, since it only ever moves that way; null if unknowable. */
+    private void find(String id, Consumer<Known> found) {
+        JobRecords.Finished end = remembered.get(id);
+        if (end != null) {
+            found.accept(new Known(null, 0, end));
+            return;
+        }
+        store.get(Keys.live(id), live -> {
+            if (live.is(Outcome.OK)) {
+                found.accept(readLive(live.value()));
+            } else if (live.is(Outcome.GONE)) {
+                store.get(Keys.finished(id), finished -> found.accept(readFinished(id, finished)));
+            } else {
+                found.accept(null);
+            }
+        });
+    }
+
+    private static Known readLive(Item item) {
+        try {
+            return new Known(JobRecords.readLive(item.value()), item.version(), null);
+        } catch (MalformedMessage e) {
+            return null;
+        }
+    }
+
+    private Known readFinished(String id, StoreReply<Item> reply) {
+        if (reply.is(Outcome.GONE)) {
+            return new Known(null, 0, null);
+        }
+        if (!reply.is(Outcome.OK)) {
+            return null;
+        }
+        try {
+            JobRecords.Finished end = JobRecords.readFinished(reply.value().value());
+            remembered.put(id, end);
+            return new Known(null, 0, end);
+        } catch (MalformedMessage e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/madderrudder/transport/HttpExchange.java
@@ -0,0 +1,8 @@
+package madderrudder.transport;
+
+import java.util.function.Consumer;
+
+/** What answers requests. The answer may come later, but comes at most once. */
+public interface HttpExchange {
+    void handle(HttpRequest request, Consumer<HttpResponse> answer);
+}
