--- a/src/main/java/madderrudder/bookkeeping/Journal.java
+++ b/src/main/java/madderrudder/bookkeeping/Journal.java
@@ -25,6 +25,8 @@
 public final class Journal {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
     private static final long RETRY_MICROS = 150_000;
+    /** One write in this many may rewrite the term key. */
+    private static final double HELM_SHARE = 3;
     private static final int MOST_BYTES = 48 * 1024;
 
     private final Scheduler scheduler;
@@ -33,6 +35,7 @@
     private final long term;
     private final int mostWrites;
     private final long spacingMicros;
+    private final Pace pace;
     private final Runnable onLost;
     private final Map<String, Change> waiting = new LinkedHashMap<>();
     private long helmVersion;
@@ -47,14 +50,15 @@
     }
 
     public Journal(Scheduler scheduler, StoreClient store, String member, long term, long helmVersion, int mostWrites,
-            long spacingMicros, Runnable onLost) {
+            double writesPerSecond, Runnable onLost) {
         this.scheduler = scheduler;
         this.store = store;
         this.member = member;
         this.term = term;
         this.helmVersion = helmVersion;
         this.mostWrites = mostWrites;
-        this.spacingMicros = spacingMicros;
+        spacingMicros = (long) (HELM_SHARE * 1e6 / writesPerSecond);
+        pace = new Pace(scheduler, writesPerSecond, writesPerSecond);
         this.onLost = onLost;
     }
 
@@ -106,7 +110,11 @@
         if (batch != null) {
             inFlight = true;
             nextMicros = scheduler.nowMicros() + spacingMicros;
-            send(batch, false);
+            pace.run(batch.writes(), () -> {
+                if (!closed) {
+                    send(batch, false);
+                }
+            });
         }
     }
 
@@ -138,7 +146,7 @@
     }
 
     private void send(Batch batch, boolean maybeApplied) {
-        store.commitUrgent(batch.body(), batch.writes(), reply -> {
+        store.commitUrgent(batch.body(), reply -> {
             if (closed) {
                 return;
             }
--- a/src/main/java/madderrudder/bookkeeping/Pace.java
+++ b/src/main/java/madderrudder/bookkeeping/Pace.java
@@ -5,8 +5,7 @@
 import madderrudder.transport.Scheduler;
 
 /**
- * Keeps calls under a rate the other side enforces. Urgent calls are only counted; ordinary ones
- * wait their turn in a bounded queue, so that holds and leadership always find room.
+ * Keeps calls under a rate the other side enforces: they wait their turn in a bounded queue.
  */
 public final class Pace {
     private static final int MOST_WAITING = 256;
@@ -30,14 +29,8 @@
         filledMicros = scheduler.nowMicros();
     }
 
-    /** Counts a call that must not wait. */
-    public void urgent(double cost) {
-        fill();
-        tokens -= cost;
-    }
-
     /** Runs the call when the rate allows; false if too many wait already. */
-    public boolean ordinary(double cost, Runnable go) {
+    public boolean run(double cost, Runnable go) {
         if (queue.size() >= MOST_WAITING) {
             return false;
         }
@@ -46,16 +39,6 @@
         return true;
     }
 
-    /** Takes the cost if it is there at this moment. */
-    public boolean tryTake(double cost) {
-        fill();
-        if (!queue.isEmpty() || tokens < Math.min(cost, burst)) {
-            return false;
-        }
-        tokens -= cost;
-        return true;
-    }
-
     private void pump() {
         if (pumping) {
             return;
--- a/src/main/java/madderrudder/bookkeeping/StoreClient.java
+++ b/src/main/java/madderrudder/bookkeeping/StoreClient.java
@@ -16,7 +16,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Calls to the state service, paced under its limits, each ending in exactly one reply. */
+/**
+ * Calls to the state service, each ending in exactly one reply. What users cause is paced within this
+ * node's share of the store's limits; holds, watches and leadership are few and never wait.
+ */
 public final class StoreClient {
     private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
     private static final long CALL_MICROS = 1_500_000;
@@ -55,13 +58,11 @@
     /** One page of a range, after the key {@code since} (empty for the start). */
     public void range(String prefix, String since, Consumer<StoreReply<Page>> answer) {
         String target = "/store?under=" + prefix + (since.isEmpty() ? "" : "&since=" + since) + "&most=" + PAGE;
-        requests.urgent(1);
         call(HttpRequest.get(target), CALL_MICROS, StoreCodec::readRange, answer);
     }
 
     /** Waits for changes under the prefix after the revision. */
     public void follow(String prefix, long since, long waitMicros, Consumer<StoreReply<Page>> answer) {
-        requests.urgent(1);
         call(HttpRequest.get("/follow?under=" + prefix + "&since=" + since + "&wait_ms=" + waitMicros / 1000),
                 waitMicros + CALL_MICROS, StoreCodec::readEvents, answer);
     }
@@ -69,38 +70,33 @@
     /** A user's transaction: waits its turn, and is refused when too many wait. */
     public void commit(List<Condition> conditions, List<Write> changes, Consumer<StoreReply<Long>> answer) {
         HttpRequest request = HttpRequest.post("/commit", StoreCodec.commit(conditions, changes));
-        boolean queued = writes.ordinary(changes.size(),
+        boolean queued = writes.run(changes.size(),
                 () -> ordinary(request, StoreCodec::readRevision, answer));
         if (!queued) {
             answer.accept(StoreReply.of(Outcome.REFUSED));
         }
     }
 
-    /** A leader's transaction: the caller batches, so it is counted but never queued behind users. */
-    public void commitUrgent(byte[] body, int changes, Consumer<StoreReply<Long>> answer) {
-        requests.urgent(1);
-        writes.urgent(changes);
+    /** A leader's transaction, never queued behind users; the caller batches and paces it. */
+    public void commitUrgent(byte[] body, Consumer<StoreReply<Long>> answer) {
         call(HttpRequest.post("/commit", body), CALL_MICROS, StoreCodec::readRevision, answer);
     }
 
     public void openHold(long lifeMicros, Consumer<StoreReply<Long>> answer) {
-        requests.urgent(1);
         call(HttpRequest.post("/holds", StoreCodec.hold(lifeMicros)), CALL_MICROS, StoreCodec::readLease, answer);
     }
 
     public void extendHold(long lease, Consumer<StoreReply<Boolean>> answer) {
-        requests.urgent(1);
         call(HttpRequest.post("/holds/" + lease + "/extend", new byte[] {'{', '}'}), CALL_MICROS / 2,
                 body -> true, answer);
     }
 
     public void releaseHold(long lease) {
-        requests.urgent(1);
         call(HttpRequest.delete("/holds/" + lease), CALL_MICROS, body -> true, reply -> { });
     }
 
     private <T> void ordinary(HttpRequest request, Reader<T> reader, Consumer<StoreReply<T>> answer) {
-        if (!requests.ordinary(1, () -> call(request, CALL_MICROS, reader, answer))) {
+        if (!requests.run(1, () -> call(request, CALL_MICROS, reader, answer))) {
             answer.accept(StoreReply.of(Outcome.REFUSED));
         }
     }
--- a/src/main/java/madderrudder/cli/Main.java
+++ b/src/main/java/madderrudder/cli/Main.java
@@ -25,8 +25,9 @@
             commands:
               serve    run one controller until it is killed
               check    check the settings and say what is wrong with them
+              rehearse load what serving needs and end (the build makes the class-data archive with it)
 
-            options of both:
+            options of serve and check:
               --config FILE      the platform's settings (JSON)
               --operator FILE    the operators' own settings (S-expression)
 
@@ -61,6 +62,9 @@
                 out.println("madderrudder " + (version == null ? "(development)" : version));
                 return 0;
             }
+            case "rehearse" -> {
+                return Rehearsal.run(err);
+            }
             case "serve", "check" -> {
                 return withSettings(args, out, err);
             }
--- a/src/main/java/madderrudder/coordination/CloudClient.java
+++ b/src/main/java/madderrudder/coordination/CloudClient.java
@@ -42,7 +42,7 @@
     }
 
     private void call(HttpRequest request, Consumer<HttpResponse> answer) {
-        if (!pace.ordinary(1, () -> calls.call(address, request, CALL_MICROS, answer))) {
+        if (!pace.run(1, () -> calls.call(address, request, CALL_MICROS, answer))) {
             answer.accept(HttpResponse.notSent());
         }
     }
--- a/src/main/java/madderrudder/coordination/Cluster.java
+++ b/src/main/java/madderrudder/coordination/Cluster.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.MachineType;
+import madderrudder.protocol.Priority;
 import madderrudder.protocol.Resources;
 
 /** The leader's picture: live jobs, machines, and what may be where. */
@@ -49,26 +52,40 @@
         return false;
     }
 
-    /** The jobs that wait for room, in the order in which they shall get it. */
-    List<Job> waitingJobs() {
+    /**
+     * The jobs that lie within their team's guarantee: each fits into it together with the team's
+     * earlier unfinished jobs.
+     */
+    Set<Job> guaranteedJobs() {
         Map<String, Resources> demand = new HashMap<>();
-        Map<Job, Boolean> guaranteed = new HashMap<>();
         List<Job> byAge = new ArrayList<>(jobs.values());
         byAge.sort(Comparator.comparingLong(job -> job.acceptedWallMicros));
-        List<Job> waiting = new ArrayList<>();
+        Set<Job> guaranteed = new HashSet<>();
         for (Job job : byAge) {
-            if (job.over) {
-                continue;
+            Resources total = demand.merge(job.spec.team(), job.spec.perTask().times(job.undone()), Resources::plus);
+            if (job.team.guarantees(total)) {
+                guaranteed.add(job);
             }
-            Resources total = demand.merge(job.spec.team(),
-                    job.spec.perTask().times(job.undone()), Resources::plus);
-            guaranteed.put(job, job.team.guarantees(total));
-            if (job.nextWaiting(0) >= 0) {
+        }
+        return guaranteed;
+    }
+
+    /**
+     * The jobs that wait for room, in the order in which they shall get it: production, then what lies
+     * within a guarantee, then by priority. What may be stopped for a job always comes after it here, so
+     * room made by stopping never goes back to what was stopped.
+     */
+    List<Job> waitingJobs(Set<Job> guaranteed) {
+        List<Job> waiting = new ArrayList<>();
+        for (Job job : jobs.values()) {
+            if (!job.over && job.nextWaiting(0) >= 0) {
                 waiting.add(job);
             }
         }
-        waiting.sort(Comparator.<Job>comparingInt(job -> job.spec.priority().ordinal())
-                .thenComparing(job -> !guaranteed.get(job))
+        waiting.sort(Comparator.<Job>comparingInt(job -> job.spec.priority() == Priority.PRODUCTION ? 0
+                        : guaranteed.contains(job) ? 1 : 2)
+                .thenComparingInt(job -> job.spec.priority().ordinal())
+                .thenComparing(job -> !guaranteed.contains(job))
                 .thenComparingLong(Cluster::urgency));
         return waiting;
     }
@@ -78,17 +95,6 @@
                 : job.acceptedWallMicros + 120_000_000;
     }
 
-    /** The job fits, together with its team's earlier unfinished jobs, into what the team is guaranteed. */
-    boolean withinGuarantee(Job job) {
-        Resources total = Resources.NONE;
-        for (Job other : jobs.values()) {
-            if (!other.over && other.team == job.team && other.acceptedWallMicros <= job.acceptedWallMicros) {
-                total = total.plus(other.spec.perTask().times(other.undone()));
-            }
-        }
-        return job.team.guarantees(total);
-    }
-
     /** Some owned machine that is there could take a task of the job, if it were empty. */
     boolean ownedCouldFit(Job job, long nowMicros) {
         for (Machine machine : machines.values()) {
--- a/src/main/java/madderrudder/coordination/Election.java
+++ b/src/main/java/madderrudder/coordination/Election.java
@@ -213,10 +213,11 @@
                 Write.put(Keys.HELM, Journal.helm(newTerm, member, 0)));
         byte[] body = StoreCodec.commit(
                 List.of(new Condition(Keys.LEAD, 0), new Condition(Keys.HELM, helmVersion)), writes);
-        store.commitUrgent(body, writes.size(), reply -> {
+        store.commitUrgent(body, reply -> {
             campaigning = false;
             // After a silence the claim may still come true; with its hold given back it ends at once.
-            if (!reply.is(Outcome.OK) || highestTerm >= newTerm) {
+            // The watch may bring this very claim before its answer comes: only a higher term counts.
+            if (!reply.is(Outcome.OK) || highestTerm > newTerm) {
                 giveUp(newLease);
                 return;
             }
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -31,7 +31,7 @@
 
     static List<Placement> plan(Cluster cluster, Policy policy, long nowMicros) {
         Placer placer = new Placer(cluster, policy, nowMicros);
-        for (Job job : cluster.waitingJobs()) {
+        for (Job job : cluster.waitingJobs(cluster.guaranteedJobs())) {
             if (placer.placements.size() >= MOST_PER_ROUND) {
                 break;
             }
--- a/src/main/java/madderrudder/coordination/Preemption.java
+++ b/src/main/java/madderrudder/coordination/Preemption.java
@@ -21,18 +21,20 @@
     private final Map<Machine, Resources> coming = new HashMap<>();
     private final Map<String, Resources> usage;
     private final Set<Assignment> victims = new HashSet<>();
+    private final Set<Job> guaranteedJobs;
 
     private Preemption(Cluster cluster, long nowMicros) {
         this.cluster = cluster;
         this.nowMicros = nowMicros;
         usage = cluster.usage();
+        guaranteedJobs = cluster.guaranteedJobs();
     }
 
     /** To be called after placement: whatever still waits has found no free room. */
     static Set<Assignment> plan(Cluster cluster, long nowMicros) {
         Preemption preemption = new Preemption(cluster, nowMicros);
         Room room = new Room(cluster);
-        for (Job job : cluster.waitingJobs()) {
+        for (Job job : cluster.waitingJobs(preemption.guaranteedJobs)) {
             if (job.spec.kind() != Kind.GANG && !job.faulty()) {
                 preemption.makeRoom(job, room);
             }
@@ -41,7 +43,7 @@
     }
 
     private void makeRoom(Job job, Room room) {
-        boolean guaranteed = cluster.withinGuarantee(job);
+        boolean guaranteed = guaranteedJobs.contains(job);
         if (!guaranteed && job.spec.priority() == Priority.LOW) {
             return;
         }
@@ -126,7 +128,7 @@
         }
         Resources theirs = usage.getOrDefault(victim.team, Resources.NONE);
         return guaranteed && victim.job.spec.kind() != Kind.SERVICE && victim.job.team != job.team
-                && !victim.job.team.guarantees(theirs);
+                && !guaranteedJobs.contains(victim.job) && !victim.job.team.guarantees(theirs);
     }
 
     private double loss(List<Assignment> stops) {
--- a/src/main/java/madderrudder/coordination/RentalPlanner.java
+++ b/src/main/java/madderrudder/coordination/RentalPlanner.java
@@ -77,7 +77,7 @@
             Predicate<Rental.Shelf> available, List<Rental> underWay) {
         RentalPlanner planner = new RentalPlanner(cluster, policy, nowMicros, budgetLeft, available, underWay);
         int looked = 0;
-        for (Job job : cluster.waitingJobs()) {
+        for (Job job : cluster.waitingJobs(cluster.guaranteedJobs())) {
             if (!job.faulty() && looked < MOST_TASKS) {
                 looked += planner.planJob(job, MOST_TASKS - looked);
             }
--- a/src/main/java/madderrudder/coordination/Term.java
+++ b/src/main/java/madderrudder/coordination/Term.java
@@ -8,6 +8,8 @@
 /** What the parts of a leader share while its term lasts. */
 final class Term {
     private static final int COUNTER_BITS = 24;
+    /** Of the store's write rate; the nodes share the rest for what users submit. */
+    private static final double LEADER_SHARE = 0.6;
 
     final Scheduler scheduler;
     final StoreClient store;
@@ -32,10 +34,8 @@
         policy = around.policy();
         safety = Safety.of(deployment.workers());
         this.number = number;
-        // A quarter of the store's write rate may go to rewriting the term key.
-        long spacing = (long) (4e6 / deployment.state().writesPerSecond());
         journal = new Journal(scheduler, store, around.member(), number, helmVersion,
-                deployment.state().transactionWrites(), spacing, onLost);
+                deployment.state().transactionWrites(), deployment.state().writesPerSecond() * LEADER_SHARE, onLost);
         cluster = new Cluster(deployment);
     }
 
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -38,6 +38,9 @@
     private static final long PEER_SILENT_MICROS = 2_000_000;
     private static final int MOST_PROGRESS = 5_000;
     private static final int PULSES_PER_PROGRESS = 2;
+    /** Of the store's rates, for what users ask of all nodes together. */
+    private static final double REQUESTS_SHARE = 0.75;
+    private static final double WRITES_SHARE = 0.4;
     private static final String JOBS = "/v1/jobs";
     private static final String WITHDRAW = "/withdraw";
 
@@ -70,10 +73,10 @@
         this.settings = settings;
         this.peers = peers;
         var deployment = settings.deployment();
-        // What users ask for is spread over the nodes; the leader's own calls come on top, uncounted here.
-        double share = 0.75 / deployment.members();
+        // What users ask for is spread over the nodes; the leader's own calls come on top.
         store = new StoreClient(scheduler, calls, settings.stateAddress(),
-                deployment.state().requestsPerSecond() * share, deployment.state().writesPerSecond() * share);
+                deployment.state().requestsPerSecond() * REQUESTS_SHARE / deployment.members(),
+                deployment.state().writesPerSecond() * WRITES_SHARE / deployment.members());
         CloudClient cloud = new CloudClient(scheduler, calls, settings.cloudAddress(),
                 deployment.cloud().requestsPerSecond());
         catalog = new Catalog(scheduler, store, cloud);
--- a/src/main/java/madderrudder/transport/HttpServer.java
+++ b/src/main/java/madderrudder/transport/HttpServer.java
@@ -37,6 +37,11 @@
         listener.bind(listen, 256);
     }
 
+    /** The port in use, which the system chose if it was given as 0. */
+    public int port() throws IOException {
+        return ((InetSocketAddress) listener.getLocalAddress()).getPort();
+    }
+
     /** Begins to accept; must be called once, on the loop or before it runs. */
     public void start() {
         accept();
--- /dev/null
+++ b/src/test/java/madderrudder/sim/SimNet.java
@@ -0,0 +1,112 @@
+package madderrudder.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import madderrudder.transport.HttpCalls;
+import madderrudder.transport.HttpExchange;
+import madderrudder.transport.HttpRequest;
+import madderrudder.transport.HttpResponse;
+import madderrudder.transport.Scheduler;
+
+/**
+ * A network between named hosts: delay, lost connections, and cuts that hold what was sent and deliver
+ * it when they end, even though the sender has given up.
+ */
+final class SimNet {
+    private static final long LATENCY_MICROS = 800;
+
+    private final Sim sim;
+    private final double loss;
+    private final Map<String, Served> served = new HashMap<>();
+    private final Map<String, Cut> cuts = new HashMap<>();
+
+    /** What answers at an address, and on which host. */
+    private record Served(String host, HttpExchange exchange) {
+    }
+
+    /** A cut between two hosts; what it holds goes on when it ends. */
+    private static final class Cut {
+        final boolean hold;
+        final List<Runnable> held = new ArrayList<>();
+
+        Cut(boolean hold) {
+            this.hold = hold;
+        }
+    }
+
+    SimNet(Sim sim, double loss) {
+        this.sim = sim;
+        this.loss = loss;
+    }
+
+    void serve(String address, String host, HttpExchange exchange) {
+        served.put(address, new Served(host, exchange));
+    }
+
+    void silence(String address) {
+        served.remove(address);
+    }
+
+    private static String pair(String a, String b) {
+        return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+    }
+
+    void cut(String a, String b, boolean hold, long forMicros) {
+        Cut cut = new Cut(hold);
+        if (cuts.putIfAbsent(pair(a, b), cut) == null) {
+            sim.after(forMicros, () -> {
+                cuts.remove(pair(a, b));
+                cut.held.forEach(message -> sim.after(LATENCY_MICROS, message));
+            });
+        }
+    }
+
+    /** Carries one message; false if it is dropped. */
+    private void carry(String from, String to, Runnable message) {
+        Cut cut = cuts.get(pair(from, to));
+        if (cut != null) {
+            if (cut.hold) {
+                cut.held.add(message);
+            }
+            return;
+        }
+        if (!sim.chance(loss)) {
+            sim.after(LATENCY_MICROS / 2 + sim.random.nextLong(LATENCY_MICROS), message);
+        }
+    }
+
+    /** How a host calls others. */
+    HttpCalls callsFrom(String from, Scheduler clock) {
+        return (address, request, timeoutMicros, answer) -> {
+            boolean[] settled = new boolean[1];
+            Consumer<HttpResponse> once = response -> {
+                if (!settled[0]) {
+                    settled[0] = true;
+                    answer.accept(response);
+                }
+            };
+            Served target = served.get(address);
+            if (target == null) {
+                clock.after(sim.chance(0.5) ? LATENCY_MICROS : timeoutMicros, () -> once.accept(HttpResponse.notSent()));
+                return;
+            }
+            clock.after(timeoutMicros, () -> once.accept(HttpResponse.silent()));
+            carry(from, target.host(), () -> deliver(from, address, request,
+                    response -> clock.execute(() -> once.accept(response))));
+        };
+    }
+
+    private void deliver(String from, String address, HttpRequest request, Consumer<HttpResponse> back) {
+        Served target = served.get(address);
+        if (target != null) {
+            target.exchange().handle(request, response -> carry(target.host(), from, () -> back.accept(response)));
+        }
+    }
+
+    void frame(String from, String to, Runnable receive) {
+        carry(from, to, receive);
+    }
+}
--- /dev/null
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -0,0 +1,273 @@
+package madderrudder.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import madderrudder.protocol.Fields;
+import madderrudder.protocol.Json;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.transport.HttpExchange;
+import madderrudder.transport.HttpRequest;
+import madderrudder.transport.HttpResponse;
+
+/** A stand-in for the state service, by its published protocol. */
+final class SimStore {
+    private final Sim sim;
+    private final int mostWrites;
+    private final int mostValueBytes;
+    private final TreeMap<String, Entry> keys = new TreeMap<>();
+    private final List<Event> log = new ArrayList<>();
+    private final Map<Long, Hold> holds = new HashMap<>();
+    private final List<Runnable> watches = new ArrayList<>();
+    private final Set<String> refused = new HashSet<>();
+    private long revision = 100;
+    private long nextHold = 1;
+    private boolean down;
+
+    private record Entry(byte[] data, long version, long hold) {
+    }
+
+    private record Event(String key, byte[] data, long revision) {
+    }
+
+    private static final class Hold {
+        long lifeMicros;
+        long endMicros;
+    }
+
+    SimStore(Sim sim, int mostWrites, int mostValueBytes) {
+        this.sim = sim;
+        this.mostWrites = mostWrites;
+        this.mostValueBytes = mostValueBytes;
+    }
+
+    void outage(long forMicros) {
+        down = true;
+        sim.after(forMicros, () -> {
+            down = false;
+            holds.values().forEach(hold -> hold.endMicros = sim.nowMicros + hold.lifeMicros);
+            wake();
+        });
+    }
+
+    void refuse(String host, long forMicros) {
+        refused.add(host);
+        sim.after(forMicros, () -> refused.remove(host));
+    }
+
+    HttpExchange exchangeFor(String host) {
+        return (request, answer) -> sim.after(1_000 + sim.random.nextLong(sim.chance(0.01) ? 300_000 : 8_000),
+                () -> handle(host, request, answer));
+    }
+
+    private void handle(String host, HttpRequest request, Consumer<HttpResponse> answer) {
+        expire();
+        try {
+            String path = request.path();
+            if (path.equals("/follow")) {
+                follow(host, query(request), answer, sim.nowMicros);
+            } else if (down || refused.contains(host)) {
+                answer.accept(HttpResponse.of(503, Json.error("trouble")));
+            } else if (path.equals("/commit")) {
+                commit(Json.readObject(request.body()), answer);
+            } else if (path.equals("/store")) {
+                range(query(request), answer);
+            } else if (path.startsWith("/store/")) {
+                get(path.substring(7), answer);
+            } else if (path.equals("/holds")) {
+                Hold hold = new Hold();
+                hold.lifeMicros = Json.readObject(request.body()).count("life_ms") * 1000;
+                hold.endMicros = sim.nowMicros + hold.lifeMicros;
+                long id = nextHold++;
+                holds.put(id, hold);
+                answer.accept(ok(out -> out.writeNumberField("mooring", id)));
+            } else if (path.endsWith("/extend")) {
+                Hold hold = holds.get(Long.parseLong(path.substring(7, path.length() - 7)));
+                if (hold != null) {
+                    hold.endMicros = sim.nowMicros + hold.lifeMicros;
+                }
+                answer.accept(HttpResponse.of(hold == null ? 404 : 200, new byte[] {'{', '}'}));
+            } else {
+                end(Long.parseLong(path.substring(7)));
+                answer.accept(HttpResponse.of(200, new byte[] {'{', '}'}));
+            }
+        } catch (MalformedMessage e) {
+            throw new AssertionError("the store got nonsense: " + request.target(), e);
+        }
+    }
+
+    private static HttpResponse ok(Json.Body fields) {
+        return HttpResponse.of(200, Json.object(fields));
+    }
+
+    private static Map<String, String> query(HttpRequest request) {
+        Map<String, String> query = new HashMap<>();
+        for (String part : request.target().substring(request.path().length() + 1).split("&")) {
+            int equals = part.indexOf('=');
+            query.put(part.substring(0, equals), part.substring(equals + 1));
+        }
+        return query;
+    }
+
+    private void expire() {
+        if (!down) {
+            List.copyOf(holds.entrySet()).stream().filter(hold -> hold.getValue().endMicros <= sim.nowMicros)
+                    .forEach(hold -> end(hold.getKey()));
+        }
+    }
+
+    private void end(long hold) {
+        holds.remove(hold);
+        List<String> attached = keys.entrySet().stream().filter(e -> e.getValue().hold() == hold)
+                .map(Map.Entry::getKey).toList();
+        if (!attached.isEmpty()) {
+            revision++;
+            attached.forEach(key -> change(key, null, 0));
+            wake();
+        }
+    }
+
+    private void change(String key, byte[] data, long hold) {
+        if (data == null) {
+            keys.remove(key);
+        } else {
+            keys.put(key, new Entry(data, revision, hold));
+        }
+        log.add(new Event(key, data, revision));
+    }
+
+    private void commit(Fields in, Consumer<HttpResponse> answer) throws MalformedMessage {
+        List<Fields> writes = in.objects("writes");
+        if (writes.size() > mostWrites) {
+            throw new AssertionError("a transaction of " + writes.size() + " writes");
+        }
+        for (Fields write : writes) {
+            if (write.has("mooring") && !holds.containsKey(write.count("mooring"))) {
+                answer.accept(HttpResponse.of(400, Json.error("no such lease")));
+                return;
+            }
+        }
+        List<String> failed = new ArrayList<>();
+        for (Fields condition : in.objects("when")) {
+            Entry entry = keys.get(condition.text("path"));
+            if ((entry == null ? 0 : entry.version()) != condition.count("entry")) {
+                failed.add(condition.text("path"));
+            }
+        }
+        if (!failed.isEmpty()) {
+            answer.accept(HttpResponse.of(409, Json.object(out -> {
+                out.writeArrayFieldStart("failed");
+                for (String key : failed) {
+                    out.writeString(key);
+                }
+                out.writeEndArray();
+                out.writeNumberField("logline", revision);
+            })));
+            return;
+        }
+        revision++;
+        for (Fields write : writes) {
+            if (write.has("drop")) {
+                change(write.text("drop"), null, 0);
+            } else {
+                byte[] data = write.object("data").render();
+                if (data.length > mostValueBytes) {
+                    throw new AssertionError("a value of " + data.length + " bytes");
+                }
+                change(write.text("write"), data, write.count("mooring", 0));
+            }
+        }
+        answer.accept(ok(out -> out.writeNumberField("logline", revision)));
+        wake();
+    }
+
+    private void get(String key, Consumer<HttpResponse> answer) {
+        Entry entry = keys.get(key);
+        if (entry == null) {
+            answer.accept(HttpResponse.of(404, Json.object(out -> out.writeNumberField("logline", revision))));
+            return;
+        }
+        answer.accept(ok(out -> {
+            out.writeStringField("path", key);
+            out.writeFieldName("data");
+            out.writeRawValue(new String(entry.data()));
+            out.writeNumberField("entry", entry.version());
+        }));
+    }
+
+    private void range(Map<String, String> query, Consumer<HttpResponse> answer) {
+        String prefix = query.get("under");
+        int most = Math.min(7, Integer.parseInt(query.get("most")));
+        List<Map.Entry<String, Entry>> rows = keys.tailMap(query.getOrDefault("since", prefix),
+                !query.containsKey("since")).entrySet().stream().filter(e -> e.getKey().startsWith(prefix))
+                .limit(most + 1).toList();
+        answer.accept(ok(out -> {
+            out.writeArrayFieldStart("rows");
+            for (var row : rows.subList(0, Math.min(most, rows.size()))) {
+                out.writeStartObject();
+                out.writeStringField("path", row.getKey());
+                out.writeFieldName("data");
+                out.writeRawValue(new String(row.getValue().data()));
+                out.writeNumberField("entry", row.getValue().version());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeBooleanField("more", rows.size() > most);
+            out.writeNumberField("logline", revision);
+        }));
+    }
+
+    private void follow(String host, Map<String, String> query, Consumer<HttpResponse> answer, long sentMicros) {
+        String prefix = query.get("under");
+        long since = Long.parseLong(query.get("since"));
+        long endMicros = sentMicros + Long.parseLong(query.get("wait_ms")) * 1000;
+        boolean[] answered = new boolean[1];
+        Runnable look = () -> {
+            if (answered[0] || down || refused.contains(host)) {
+                return;
+            }
+            List<Event> news = log.stream().filter(e -> e.revision() > since && e.key().startsWith(prefix)).toList();
+            if (news.isEmpty() && sim.nowMicros < endMicros) {
+                return;
+            }
+            answered[0] = true;
+            answer.accept(ok(out -> {
+                out.writeNumberField("logline", revision);
+                out.writeArrayFieldStart("news");
+                for (Event event : news) {
+                    out.writeStartObject();
+                    out.writeStringField(event.data() == null ? "drop" : "write", event.key());
+                    if (event.data() != null) {
+                        out.writeFieldName("data");
+                        out.writeRawValue(new String(event.data()));
+                    }
+                    out.writeNumberField("entry", event.revision());
+                    out.writeEndObject();
+                }
+                out.writeEndArray();
+            }));
+        };
+        watches.add(look);
+        look.run();
+        sim.after(endMicros - sim.nowMicros, () -> {
+            expire();
+            look.run();
+            watches.remove(look);
+        });
+    }
+
+    private void wake() {
+        List.copyOf(watches).forEach(Runnable::run);
+    }
+
+    /** Ends holds whose time is up even while nobody calls. */
+    void tick() {
+        expire();
+        sim.after(50_000, this::tick);
+    }
+}
