--- a/src/main/java/madderrudder/coordination/Machine.java
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -30,6 +30,8 @@
     final boolean spot;
     final boolean owned;
     final long rentedWallMicros;
+    /** Since when this leader knows of it. */
+    final long knownMicros;
     String addr = "";
     boolean retiring;
     /** The deletion may be sent: that it is retiring is durable. */
@@ -63,6 +65,7 @@
         this.spot = spot;
         this.owned = owned;
         this.rentedWallMicros = rentedWallMicros;
+        knownMicros = nowMicros;
         answeredMicros = nowMicros;
         idleSinceMicros = nowMicros;
     }
--- a/src/main/java/madderrudder/coordination/Rentals.java
+++ b/src/main/java/madderrudder/coordination/Rentals.java
@@ -197,6 +197,8 @@
                 // If most are silent, it is rather this node that is cut off.
                 fleet.retire(machine, "silent for too long");
             } else if (!machine.reported && machine.assignments.isEmpty()
+                    // One that has been up for long may not have found its way to a new leader yet.
+                    && nowMicros - machine.knownMicros > 2 * term.safety.leaseMicros()
                     && age > Math.max(BOOT_FACTOR * machine.type.bootMicros(), term.policy.idleMicros())) {
                 fleet.retire(machine, "it has not come up");
             } else if (machine.reported && machine.empty()
