--- a/src/main/java/madderrudder/bookkeeping/Pace.java
+++ b/src/main/java/madderrudder/bookkeeping/Pace.java
@@ -9,6 +9,8 @@
  */
 public final class Pace {
     private static final int MOST_WAITING = 256;
+    /** Timers are no finer than this, and a shorter wait could end before the clock has moved. */
+    private static final long LEAST_WAIT_MICROS = 1_000;
 
     private final Scheduler scheduler;
     private final double perMicro;
@@ -53,7 +55,7 @@
         pumping = false;
         if (!queue.isEmpty()) {
             pumping = true;
-            long waitMicros = (long) ((queue.peekFirst().cost() - tokens) / perMicro) + 1;
+            long waitMicros = LEAST_WAIT_MICROS + (long) ((queue.peekFirst().cost() - tokens) / perMicro);
             scheduler.after(waitMicros, () -> {
                 pumping = false;
                 pump();
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -104,6 +104,11 @@
         scheduler.every(PULSE_MICROS, this::pulse);
     }
 
+    /** Whether this node holds the lead at this moment. */
+    public boolean leads() {
+        return election.entitled();
+    }
+
     private void lead(long term, long helmVersion) {
         leader = new Leader(surroundings, term, helmVersion, () -> election.stepDown("the chain of commits broke"));
         leader.begin();
--- /dev/null
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -0,0 +1,96 @@
+package madderrudder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import madderrudder.coordination.Deployment;
+import madderrudder.coordination.Policy;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Days with random users and random troubles, every rule checked after each step. */
+@Timeout(60)
+class RandomDaysTest {
+    private static final long TROUBLES_END = 240 * World.SECOND;
+    private static final long CANCEL_AT = 330 * World.SECOND;
+    private static final long DAY = 480 * World.SECOND;
+
+    private static World day(long seed, Deployment.WorkerTimes believed) {
+        Policy policy = new Policy(3_000_000, 1_000_000, 20, 100_000_000, 15_000_000, Policy.SpotMode.ALWAYS, 3_000_000);
+        World world = new World(seed, World.usualWorkers(), believed, policy);
+        world.users.begin(3_000_000, TROUBLES_END);
+        return world;
+    }
+
+    /** A longer search: {@code mvn test -Dtest=RandomDaysTest -Dseeds=500}. */
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("seeds", 16));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void rulesHoldWhateverFailsAndEverythingEnds(long seed) {
+        World world = day(seed, World.usualWorkers());
+        troubles(world);
+        world.run(CANCEL_AT);
+        world.users.cancelEverything();
+        world.run(DAY);
+        assertEquals(List.of(), world.rules.broken);
+        assertTrue(world.rules.starts > 50, "only " + world.rules.starts + " starts");
+        List<String> open = world.users.submitted.stream().filter(job -> !world.rules.finished(job)).toList();
+        assertEquals(List.of(), open, "jobs that never ended");
+    }
+
+    private static void troubles(World world) {
+        for (long at = 10 * World.SECOND; at < TROUBLES_END;
+                at += World.SECOND * (5 + world.sim.random.nextLong(20))) {
+            world.sim.after(at, world::trouble);
+        }
+    }
+
+    /** Controllers that take leases for shorter than they are start tasks again too early: the checker sees it. */
+    @Test
+    void checkerSeesTasksRunningTwice() {
+        Deployment.WorkerTimes real = World.usualWorkers();
+        Deployment.WorkerTimes wrong = new Deployment.WorkerTimes(real.reportMicros(), 1_000_000,
+                real.gangWaitMicros(), real.gangPeerMicros(), real.cancelMicros());
+        assertTrue(brokenOnSomeDay(wrong, "ran_twice"), "no task ran twice");
+    }
+
+    /** Controllers that take the time for cancelling for longer than it is keep tasks alive for too long. */
+    @Test
+    void checkerSeesCancelledTasksRunning() {
+        Deployment.WorkerTimes real = World.usualWorkers();
+        Deployment.WorkerTimes wrong = new Deployment.WorkerTimes(real.reportMicros(), real.leaseMicros(),
+                real.gangWaitMicros(), real.gangPeerMicros(), 400 * World.SECOND);
+        World world = day(3, wrong);
+        world.run(60 * World.SECOND);
+        // The leader alone is refused by the store and can't be heard by its peers; users cancel elsewhere.
+        for (String name : world.names()) {
+            if (world.leads(name)) {
+                world.store.refuse(name, 200 * World.SECOND);
+                world.names().forEach(other -> world.net.cut(name, other, false, 200 * World.SECOND));
+            }
+        }
+        world.users.cancelEverything();
+        world.run(200 * World.SECOND);
+        assertTrue(world.rules.broken.stream().anyMatch(rule -> rule.startsWith("ran_cancelled")),
+                "no cancelled task ran on: " + world.rules.broken);
+    }
+
+    private static boolean brokenOnSomeDay(Deployment.WorkerTimes wrong, String rule) {
+        for (long seed = 1; seed <= 16; seed++) {
+            World world = day(seed, wrong);
+            troubles(world);
+            world.run(TROUBLES_END);
+            if (world.rules.broken.stream().anyMatch(broken -> broken.startsWith(rule))) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -0,0 +1,167 @@
+package madderrudder.sim;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import madderrudder.coordination.Deployment;
+import madderrudder.protocol.JobSpec;
+import madderrudder.protocol.Resources;
+import madderrudder.protocol.TaskId;
+
+/** The rules that make a day count for nothing, checked against what really happens in the simulation. */
+final class Rules {
+    private final Sim sim;
+    private final Deployment deployment;
+    private final Map<String, JobSpec> submitted = new HashMap<>();
+    private final Set<String> accepted = new HashSet<>();
+    private final Map<String, Long> toldCancelled = new HashMap<>();
+    private final Set<String> askedToCancel = new HashSet<>();
+    private final Set<String> toldDone = new HashSet<>();
+    private final Map<TaskId, SimWorker> onMachine = new HashMap<>();
+    private final Map<String, Set<Integer>> completed = new HashMap<>();
+    private final Deque<Doomed> doomed = new ArrayDeque<>();
+    final List<String> broken = new ArrayList<>();
+    int starts;
+
+    /** A task of a cancelled job, and when it must be gone. */
+    private record Doomed(TaskId task, long byMicros) {
+    }
+
+    Rules(Sim sim, Deployment deployment) {
+        this.sim = sim;
+        this.deployment = deployment;
+    }
+
+    private void breaks(String rule, String detail) {
+        broken.add(rule + " at " + sim.nowMicros / 1e6 + " s: " + detail);
+    }
+
+    JobSpec spec(String job) {
+        return submitted.get(job);
+    }
+
+    void submits(JobSpec job) {
+        submitted.put(job.id(), job);
+    }
+
+    void asksToCancel(String job) {
+        askedToCancel.add(job);
+    }
+
+    /** A task has its image on the machine. */
+    void taskStarts(TaskId task, SimWorker machine) {
+        starts++;
+        Long told = toldCancelled.get(task.job());
+        if (told != null && sim.nowMicros - told > deployment.workers().cancelMicros()) {
+            breaks("ran_cancelled", task + " starts on " + machine.id);
+        }
+        SimWorker other = onMachine.put(task, machine);
+        if (other != null && other != machine) {
+            breaks("ran_twice", task + " on " + machine.id + " while on " + other.id);
+        }
+        JobSpec job = submitted.get(task.job());
+        if (job.types() != null && !job.types().contains(machine.type)
+                || job.zone() != null && !job.zone().equals(machine.zone) || machine.spot && !job.spotAllowed()) {
+            breaks("wrong_place", task + " on " + machine.id);
+        }
+        int sameZone = 0;
+        for (Map.Entry<TaskId, SimWorker> entry : onMachine.entrySet()) {
+            if (entry.getKey().job().equals(task.job())) {
+                if (entry.getValue().zone.equals(machine.zone)) {
+                    sameZone++;
+                } else if (job.oneZone()) {
+                    breaks("wrong_place", task + " in a second zone");
+                }
+            }
+        }
+        if (sameZone > job.mostPerZone()) {
+            breaks("wrong_place", task + " is one too many in " + machine.zone);
+        }
+        Resources usage = Resources.NONE;
+        for (TaskId running : onMachine.keySet()) {
+            JobSpec its = submitted.get(running.job());
+            if (its.team().equals(job.team())) {
+                usage = usage.plus(its.perTask());
+            }
+        }
+        if (!deployment.teams().get(job.team()).allows(usage)) {
+            breaks("quota", job.team() + " uses " + usage);
+        }
+    }
+
+    void taskEnds(TaskId task, SimWorker machine) {
+        onMachine.remove(task, machine);
+    }
+
+    void taskCompletes(TaskId task) {
+        completed.computeIfAbsent(task.job(), job -> new HashSet<>()).add(task.index());
+    }
+
+    boolean isCompleted(TaskId task) {
+        return completed.getOrDefault(task.job(), Set.of()).contains(task.index());
+    }
+
+    /** What a user read in an answer about a job. */
+    void told(String job, int status, String state, boolean submission) {
+        if (status == 404 && accepted.contains(job)
+                || submission && (status == 400 || status == 422) && accepted.contains(job)) {
+            breaks("forgotten", job + " got " + status);
+        }
+        if (status != 200 && status != 201) {
+            return;
+        }
+        if (!submitted.containsKey(job)) {
+            breaks("invented", job);
+            return;
+        }
+        accepted.add(job);
+        boolean done = state.equals("done");
+        boolean cancelled = state.equals("aborted");
+        if (toldDone.contains(job) && !done || toldCancelled.containsKey(job) && !cancelled
+                || cancelled && !askedToCancel.contains(job)) {
+            breaks("went_back", job + " called " + state);
+        }
+        if (done) {
+            toldDone.add(job);
+            if (completed.getOrDefault(job, Set.of()).size() < submitted.get(job).tasks()) {
+                breaks("not_done", job);
+            }
+        }
+        if (cancelled) {
+            if (toldCancelled.putIfAbsent(job, sim.nowMicros) == null) {
+                long by = sim.nowMicros + deployment.workers().cancelMicros();
+                for (int task = 0; task < submitted.get(job).tasks(); task++) {
+                    doomed.addLast(new Doomed(new TaskId(job, task), by));
+                }
+            }
+        }
+    }
+
+    /** To be called after each step. */
+    void check() {
+        while (!doomed.isEmpty()) {
+            Doomed next = doomed.peekFirst();
+            if (sim.nowMicros <= next.byMicros()) {
+                return;
+            }
+            doomed.pollFirst();
+            SimWorker machine = onMachine.get(next.task());
+            if (machine != null) {
+                breaks("ran_cancelled", next.task() + " on " + machine.id);
+            }
+        }
+    }
+
+    boolean finished(String job) {
+        return toldDone.contains(job) || toldCancelled.containsKey(job);
+    }
+
+    int finishedCount() {
+        return toldDone.size() + toldCancelled.size();
+    }
+}
--- a/src/test/java/madderrudder/sim/Sim.java
+++ b/src/test/java/madderrudder/sim/Sim.java
@@ -66,7 +66,7 @@
         @Override
         public Timer after(long delayMicros, Runnable action) {
             boolean[] cancelled = new boolean[1];
-            Sim.this.after((long) (delayMicros / rate), () -> {
+            Sim.this.after((long) Math.ceil(delayMicros / rate), () -> {
                 if (!cancelled[0] && !ended) {
                     action.run();
                 }
--- /dev/null
+++ b/src/test/java/madderrudder/sim/SimUsers.java
@@ -0,0 +1,136 @@
+package madderrudder.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import madderrudder.coordination.Deployment;
+import madderrudder.protocol.Fields;
+import madderrudder.protocol.JobCodec;
+import madderrudder.protocol.JobSpec;
+import madderrudder.protocol.Json;
+import madderrudder.protocol.Kind;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.Priority;
+import madderrudder.protocol.Resources;
+import madderrudder.transport.HttpCalls;
+import madderrudder.transport.HttpRequest;
+import madderrudder.transport.HttpResponse;
+
+/** Users who submit, repeat, poll, cancel, and ask about jobs that nobody submitted, each time of any node. */
+final class SimUsers {
+    private static final long POLL_MICROS = 3_000_000;
+    private static final long RETRY_MICROS = 1_200_000;
+
+    private final Sim sim;
+    private final Rules rules;
+    private final Deployment deployment;
+    private final HttpCalls calls;
+    private final Sim.Host clock;
+    private final List<String> nodes;
+    final List<String> submitted = new ArrayList<>();
+    private boolean cancelAll;
+    private int count;
+
+    SimUsers(Sim sim, SimNet net, Rules rules, Deployment deployment, Map<String, String> nodes) {
+        this.sim = sim;
+        this.rules = rules;
+        this.deployment = deployment;
+        this.nodes = List.copyOf(nodes.values());
+        clock = sim.new Host(1, 0);
+        calls = net.callsFrom("users", clock);
+    }
+
+    void begin(long everyMicros, long untilMicros) {
+        clock.after(sim.random.nextLong(2 * everyMicros), () -> {
+            if (sim.nowMicros < untilMicros) {
+                JobSpec job = randomJob();
+                rules.submits(job);
+                submitted.add(job.id());
+                submit(job);
+                if (sim.chance(0.3)) {
+                    clock.after(sim.random.nextLong(60_000_000), () -> withdraw(job.id()));
+                }
+                if (sim.chance(0.2)) {
+                    ask("req-" + (900_000 + count));
+                }
+                begin(everyMicros, untilMicros);
+            }
+        });
+    }
+
+    /** From now on everything that is not over gets cancelled, services above all. */
+    void cancelEverything() {
+        cancelAll = true;
+        submitted.stream().filter(job -> !rules.finished(job)).forEach(this::withdraw);
+    }
+
+    private JobSpec randomJob() {
+        Kind kind = switch (sim.random.nextInt(10)) {
+            case 0, 1, 2 -> Kind.SERVICE;
+            default -> Kind.ARRAY;
+        };
+        List<String> teams = List.copyOf(deployment.teams().keySet());
+        Priority priority = kind == Kind.SERVICE ? Priority.PRODUCTION
+                : Priority.values()[1 + sim.random.nextInt(3)];
+        double cpus = 1 + sim.random.nextInt(4);
+        return new JobSpec(String.format("req-%06d", count++), "class", teams.get(sim.random.nextInt(teams.size())),
+                kind, priority, 1 + sim.random.nextInt(kind == Kind.SERVICE ? 4 : 8),
+                Resources.of(cpus, 0, cpus * 2), "img-" + sim.random.nextInt(4), 1.0, null,
+                sim.chance(0.1) ? deployment.zones().get(0) : null, false, kind == Kind.SERVICE,
+                kind == Kind.ARRAY && sim.chance(0.6), 8_000_000, 0, 0, 0);
+    }
+
+    private void call(HttpRequest request, long timeoutMicros, java.util.function.Consumer<HttpResponse> answer) {
+        calls.call(nodes.get(sim.random.nextInt(nodes.size())), request, timeoutMicros, answer);
+    }
+
+    private void submit(JobSpec job) {
+        byte[] body = Json.object(out -> JobCodec.write(out, job));
+        call(HttpRequest.post("/v1/jobs", body), 5_000_000, response -> {
+            rules.told(job.id(), response.status(), state(response), true);
+            if (response.status() == 200 || response.status() == 201) {
+                if (sim.chance(0.2)) {
+                    clock.after(sim.random.nextLong(90_000_000), () -> submit(job));
+                } else {
+                    poll(job.id());
+                }
+            } else {
+                clock.after(RETRY_MICROS, () -> submit(job));
+            }
+        });
+    }
+
+    private void poll(String job) {
+        ask(job);
+        // Goes on for a while after the end, since the end must stay what it was.
+        if (!rules.finished(job) || sim.chance(0.7)) {
+            clock.after(POLL_MICROS, () -> poll(job));
+        }
+    }
+
+    private void ask(String job) {
+        call(HttpRequest.get("/v1/jobs/" + job), 2_000_000,
+                response -> rules.told(job, response.status(), state(response), false));
+    }
+
+    private void withdraw(String job) {
+        rules.asksToCancel(job);
+        call(HttpRequest.post("/v1/jobs/" + job + "/withdraw", new byte[0]), 5_000_000, response -> {
+            // Before its submission got through, a job is rightly unknown.
+            if (response.status() == 200) {
+                rules.told(job, 200, state(response), false);
+            } else if (response.status() != 404 || cancelAll) {
+                clock.after(RETRY_MICROS, () -> withdraw(job));
+            }
+        });
+    }
+
+    private static String state(HttpResponse response) {
+        try {
+            Fields in = response.status() == 200 || response.status() == 201 ? Json.readObject(response.body()) : null;
+            return in == null ? "" : in.text("trim");
+        } catch (MalformedMessage e) {
+            throw new AssertionError("a user got nonsense", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/madderrudder/sim/World.java
@@ -0,0 +1,161 @@
+package madderrudder.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import madderrudder.coordination.Deployment;
+import madderrudder.coordination.Policy;
+import madderrudder.coordination.Team;
+import madderrudder.protocol.Resources;
+import madderrudder.service.Node;
+import madderrudder.service.Settings;
+
+/** Three controllers with all that is around them, on one virtual clock. */
+final class World {
+    static final long SECOND = 1_000_000;
+
+    final Sim sim;
+    final SimNet net;
+    final SimStore store;
+    final SimCloud cloud;
+    final SimUsers users;
+    final Rules rules;
+    private final Deployment deployment;
+    private final Deployment told;
+    private final Policy policy;
+    private final Map<String, String> addresses = new LinkedHashMap<>();
+    private final Map<String, Running> running = new LinkedHashMap<>();
+
+    /** A controller process. */
+    private record Running(Node node, Sim.Host clock) {
+    }
+
+    /** The workers keep the one set of times, and the controllers believe in the other. */
+    World(long seed, Deployment.WorkerTimes workers, Deployment.WorkerTimes believed, Policy policy) {
+        this.policy = policy;
+        sim = new Sim(seed);
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (String name : List.of("alto", "basso", "canto")) {
+            teams.put(name, new Team(name, Resources.of(8, 0, 0), Resources.of(20, 0, 0)));
+        }
+        deployment = new Deployment(List.of("east", "west"), teams, workers,
+                new Deployment.StateLimits(200, 80, 16 * 1024, 24), new Deployment.CloudLimits(4, 2 * SECOND), 3,
+                500_000);
+        told = new Deployment(deployment.zones(), teams, believed, deployment.state(), deployment.cloud(), 3, 500_000);
+        net = new SimNet(sim, 0.0005);
+        rules = new Rules(sim, deployment);
+        store = new SimStore(sim, 24, 16 * 1024);
+        for (int i = 0; i < 3; i++) {
+            addresses.put("node-" + i, "10.0.0." + (i + 1) + ":8080");
+        }
+        cloud = new SimCloud(sim, net, rules, deployment, addresses);
+        users = new SimUsers(sim, net, rules, deployment, addresses);
+        net.serve("10.2.0.2:1", "cloud", cloud);
+        store.tick();
+        cloud.begin(4);
+        names().forEach(this::start);
+    }
+
+    static Deployment.WorkerTimes usualWorkers() {
+        return new Deployment.WorkerTimes(1_500_000, 10 * SECOND, 20 * SECOND, 4 * SECOND, 30 * SECOND);
+    }
+
+    List<String> names() {
+        return List.copyOf(addresses.keySet());
+    }
+
+    void start(String name) {
+        Sim.Host clock = sim.new Host(1 + (sim.random.nextDouble() - 0.5) * 0.001, sim.random.nextLong(500_000));
+        // Each node has its own way to the store, so that one alone can be refused.
+        String way = "10.2.1." + (names().indexOf(name) + 1) + ":1";
+        net.serve(way, "store", store.exchangeFor(name));
+        Settings settings = new Settings(name, "east", addresses.get(name), "10.0.0.9:1", List.of(), "10.2.0.2:1", way,
+                told, 1000);
+        Node node = new Node(clock, net.callsFrom(name, clock), frame -> {
+            for (String other : names()) {
+                if (!other.equals(name)) {
+                    byte[] bytes = new byte[frame.remaining()];
+                    frame.duplicate().get(bytes);
+                    net.frame(name, other, () -> receive(other, bytes));
+                }
+            }
+        }, sim.random.split(), settings, policy);
+        running.put(name, new Running(node, clock));
+        net.serve(addresses.get(name), name, node);
+        node.start();
+    }
+
+    private void receive(String name, byte[] bytes) {
+        Running target = running.get(name);
+        if (target != null) {
+            // The length in front is the transport's business.
+            target.node().frame(java.nio.ByteBuffer.wrap(bytes, 4, bytes.length - 4).slice());
+        }
+    }
+
+    boolean leads(String name) {
+        return running.containsKey(name) && running.get(name).node().leads();
+    }
+
+    void crash(String name, long forMicros) {
+        Running ended = running.remove(name);
+        if (ended != null) {
+            ended.clock().ended = true;
+            net.silence(addresses.get(name));
+            sim.after(forMicros, () -> start(name));
+        }
+    }
+
+    void cutFromWorkers(String node, boolean hold, long forMicros) {
+        cloud.workers().forEach(worker -> net.cut(node, worker.id, hold, forMicros));
+    }
+
+    /** One random trouble. */
+    void trouble() {
+        long time = SECOND * (2 + sim.random.nextLong(30));
+        boolean hold = sim.chance(0.6);
+        String node = names().get(sim.random.nextInt(3));
+        List<SimWorker> workers = new ArrayList<>(cloud.workers());
+        SimWorker worker = workers.isEmpty() ? null : workers.get(sim.random.nextInt(workers.size()));
+        switch (sim.random.nextInt(14)) {
+            case 0 -> crash(node, 3 * SECOND);
+            case 1 -> names().forEach(name -> crash(name, 2 * SECOND + sim.random.nextLong(SECOND)));
+            case 2 -> store.outage(time);
+            case 3 -> store.refuse(node, time);
+            case 4 -> net.cut(node, "store", hold, time);
+            case 5 -> cutFromWorkers(node, hold, time);
+            case 6 -> names().forEach(other -> net.cut(node, other, hold, time));
+            case 7 -> cloud.outage(time);
+            case 8 -> net.cut(node, "cloud", hold, time);
+            case 9 -> {
+                cutFromWorkers(node, hold, time);
+                net.cut(node, "store", hold, time);
+                names().forEach(other -> net.cut(node, other, hold, time));
+            }
+            default -> {
+                if (worker != null) {
+                    workerTrouble(worker, hold, time);
+                }
+            }
+        }
+    }
+
+    private void workerTrouble(SimWorker worker, boolean hold, long time) {
+        switch (sim.random.nextInt(4)) {
+            case 0 -> worker.hang(time);
+            case 1 -> names().forEach(name -> net.cut(name, worker.id, hold, time));
+            case 2 -> {
+                if (worker.spot) {
+                    worker.recall(8 * SECOND);
+                    sim.after(8 * SECOND, () -> cloud.take(worker));
+                }
+            }
+            default -> cloud.take(worker);
+        }
+    }
+
+    void run(long untilMicros) {
+        sim.runUntil(untilMicros, rules::check);
+    }
+}
