--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -7,4 +7,5 @@
   (budget-window-s 300)   ; ... within this time
   (idle-s 20)             ; an idle rented machine goes back after this long
   (spot always)           ; which rentals may be of the cheap kind: never, uncounted, always
+  (headroom 0.08)         ; share of processors kept from ordinary work where waits must be shorter than a boot
   (hold-s 3))             ; how long a leader's hold on the store lasts without extension
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
+import madderrudder.protocol.MachineType;
+import madderrudder.protocol.Priority;
 
 /**
  * Decides which waiting tasks go where: free owned room first, and rented room once a task has waited
@@ -19,6 +21,8 @@
     private final long nowMicros;
     private final int mostPerMachine;
     private final List<Placement> placements = new ArrayList<>();
+    private final long keptMilliCpus;
+    private long freeMilliCpus;
     private Room room;
 
     private Placer(Cluster cluster, Policy policy, long nowMicros) {
@@ -27,6 +31,16 @@
         this.nowMicros = nowMicros;
         mostPerMachine = Math.max(1, (cluster.deployment.state().valueBytes() - 512) / ENTRY_BYTES);
         room = new Room(cluster);
+        long fastestBoot = cluster.types.values().stream().mapToLong(MachineType::bootMicros).min().orElse(0);
+        boolean rentingTooSlow = cluster.deployment.shortestWaitMicros() < fastestBoot;
+        long all = 0;
+        for (Machine machine : cluster.machines.values()) {
+            if (machine.usable(nowMicros, cluster.deployment.workers().reportMicros())) {
+                all += machine.type.capacity().milliCpus();
+                freeMilliCpus += machine.free().milliCpus();
+            }
+        }
+        keptMilliCpus = rentingTooSlow ? (long) (all * policy.headroom()) : 0;
     }
 
     static List<Placement> plan(Cluster cluster, Policy policy, long nowMicros) {
@@ -51,7 +65,7 @@
             if (!job.ready(task, nowMicros) || cluster.strayed(job.spec.id(), task)) {
                 continue;
             }
-            if (!room.teamAllows(job)) {
+            if (!room.teamAllows(job) || eatsHeadroom(job)) {
                 return;
             }
             boolean waited = nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
@@ -64,6 +78,12 @@
         }
     }
 
+    /** Room for work that must start sooner than a machine boots; what is ordinary rents instead. */
+    private boolean eatsHeadroom(Job job) {
+        return Priority.HIGH.above(job.spec.priority())
+                && freeMilliCpus - job.spec.perTask().milliCpus() < keptMilliCpus;
+    }
+
     /** All tasks or none; a gang that still gathers gets what it lacks, under the attempt it has. */
     private void planGang(Job job) {
         if (!job.assignments.isEmpty() && (job.gangRan || job.gangAttempt == 0
@@ -88,6 +108,7 @@
 
     private void accept(Job job, int task, Machine machine, long attempt) {
         room.take(job, machine);
+        freeMilliCpus -= job.spec.perTask().milliCpus();
         placements.add(new Placement(job, task, machine, attempt));
     }
 
--- a/src/main/java/madderrudder/service/Settings.java
+++ b/src/main/java/madderrudder/service/Settings.java
@@ -18,6 +18,7 @@
         String cloudAddress, String stateAddress, Deployment deployment, int maxSockets) {
     /** Less than this leaves no time to hear from the store twice before workers must be let go. */
     private static final long LEAST_ANSWER_MICROS = 4_000_000;
+    private static final long NO_WAIT_MICROS = Long.MAX_VALUE;
     private static final int LEAST_WRITES = 8;
     private static final int LEAST_VALUE_KB = 4;
 
@@ -148,6 +149,19 @@
                         check.positive(path + "state.", state, "write_rps"), (int) (valueKb * 1024), writes),
                 new Deployment.CloudLimits(check.positive(path + "cloud.", cloud, "rps"),
                         check.read(path + "cloud.list_lag_s", 1L, () -> cloud.secondsAsMicros("list_lag_s"))),
-                members, Math.round(check.read(path + "clock_off_ms", 0.0, () -> in.amount("clock_off_ms", 0)) * 1e3));
+                members, Math.round(check.read(path + "clock_off_ms", 0.0, () -> in.amount("clock_off_ms", 0)) * 1e3),
+                check.read(path + "objectives", NO_WAIT_MICROS, () -> shortestWait(in)));
+    }
+
+    private static long shortestWait(Fields deployment) throws MalformedMessage {
+        long shortest = NO_WAIT_MICROS;
+        if (deployment.has("objectives")) {
+            for (Fields objective : deployment.objects("objectives")) {
+                if (objective.text("kind", "").equals("wait")) {
+                    shortest = Math.min(shortest, objective.secondsAsMicros("within_s", NO_WAIT_MICROS));
+                }
+            }
+        }
+        return shortest;
     }
 }
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -22,16 +22,20 @@
     private static final MachineType TYPE = new MachineType("box", Resources.of(4, 0, 16), 30, 1, 1.0, 0.3,
             10 * SECOND, List.of("east", "west"));
     private static final Policy POLICY = new Policy(20 * SECOND, 5 * SECOND, 10, 300 * SECOND, 60 * SECOND,
-            Policy.SpotMode.UNCOUNTED, 3 * SECOND);
+            Policy.SpotMode.UNCOUNTED, 3 * SECOND, 0.5);
 
     private final Map<String, Team> teams = Map.of(
             "alto", new Team("alto", Resources.of(8, 0, 0), Resources.of(16, 0, 0)),
             "basso", new Team("basso", Resources.of(4, 0, 0), Resources.of(16, 0, 0)));
-    private final Cluster cluster = new Cluster(new Deployment(List.of("east", "west"), teams,
-            new Deployment.WorkerTimes(2 * SECOND, 14 * SECOND, 35 * SECOND, 4 * SECOND, 44 * SECOND),
-            new Deployment.StateLimits(200, 80, 16 * 1024, 48), new Deployment.CloudLimits(2, SECOND), 3, 0));
+    private final Cluster cluster = cluster(Long.MAX_VALUE);
     private long attempts;
 
+    private Cluster cluster(long shortestWait) {
+        return new Cluster(new Deployment(List.of("east", "west"), teams,
+            new Deployment.WorkerTimes(2 * SECOND, 14 * SECOND, 35 * SECOND, 4 * SECOND, 44 * SECOND),
+            new Deployment.StateLimits(200, 80, 16 * 1024, 48), new Deployment.CloudLimits(2, SECOND), 3, 0, shortestWait));
+    }
+
     PlanningTest() {
         cluster.types = Map.of("box", TYPE);
     }
@@ -155,6 +159,22 @@
         assertEquals("req-1", stopped.task.job());
     }
 
+    /** Where waits are wanted shorter than a boot, ordinary work leaves a share of the room to what is urgent. */
+    @Test
+    void ordinaryWorkLeavesHeadroom() {
+        Cluster hasty = cluster(SECOND);
+        hasty.types = cluster.types;
+        for (String id : List.of("m-0", "m-1")) {
+            hasty.machines.put(id, machine(id, "east", true));
+        }
+        Job ordinary = job("req-1", "alto", Kind.ARRAY, Priority.NORMAL, 4, 2, false);
+        hasty.jobs.put("req-1", ordinary);
+        assertEquals(2, Placer.plan(hasty, POLICY, SECOND).size());
+        assertEquals(4, Placer.plan(cluster, POLICY, SECOND).size());
+        hasty.jobs.put("req-2", job("req-2", "basso", Kind.ARRAY, Priority.HIGH, 4, 2, false));
+        assertEquals(4, Placer.plan(hasty, POLICY, SECOND).size());
+    }
+
     @Test
     void aGangIsPlacedWholeOrNotAtAll() {
         machine("m-0", "east", true);
--- a/src/test/java/madderrudder/sim/LoopbackWorld.java
+++ b/src/test/java/madderrudder/sim/LoopbackWorld.java
@@ -23,7 +23,7 @@
         Deployment deployment = new Deployment(List.of("east", "west"),
                 Map.of("alto", new Team("alto", Resources.of(32, 0, 0), Resources.of(72, 0, 0))),
                 World.usualWorkers(), new Deployment.StateLimits(200, 80, 16 * 1024, 48),
-                new Deployment.CloudLimits(2, 4_000_000), 1, 0);
+                new Deployment.CloudLimits(2, 4_000_000), 1, 0, Long.MAX_VALUE);
         SimNet net = new SimNet(sim, 0);
         cloud = new SimCloud(sim, net, new Rules(sim, deployment), deployment, Map.of("n-0", "10.0.0.1:8080"));
         cloud.begin(0);
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -20,7 +20,8 @@
     private static final long DAY = 480 * World.SECOND;
 
     private static World day(long seed, Deployment.WorkerTimes believed) {
-        Policy policy = new Policy(3_000_000, 1_000_000, 20, 100_000_000, 15_000_000, Policy.SpotMode.ALWAYS, 3_000_000);
+        Policy policy = new Policy(3_000_000, 1_000_000, 20, 100_000_000, 15_000_000, Policy.SpotMode.ALWAYS, 3_000_000,
+                0.1);
         World world = new World(seed, World.usualWorkers(), believed, policy);
         world.users.begin(3_000_000, TROUBLES_END);
         return world;
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -41,8 +41,9 @@
         }
         deployment = new Deployment(List.of("east", "west"), teams, workers,
                 new Deployment.StateLimits(200, 80, 16 * 1024, 24), new Deployment.CloudLimits(4, 2 * SECOND), 3,
-                500_000);
-        told = new Deployment(deployment.zones(), teams, believed, deployment.state(), deployment.cloud(), 3, 500_000);
+                500_000, SECOND);
+        told = new Deployment(deployment.zones(), teams, believed, deployment.state(), deployment.cloud(), 3,
+                500_000, SECOND);
         net = new SimNet(sim, 0.0005);
         rules = new Rules(sim, deployment);
         store = new SimStore(sim, 24, 16 * 1024);
