Replicas spread over machines; a new leader need not wait R once all peers stood back

Each take-over began the wait of R plus a lease for it anew, since an earlier leader might still answer its worker, so its replicas were missing for up to 85 s; and most replicas sat on the largest machine. A controller that says it knows the term answers for no earlier one, so once all have, a lease is enough.

--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import madderrudder.bookkeeping.Change;
 import madderrudder.bookkeeping.Keys;
@@ -32,7 +34,8 @@
 
     /** What a leader stands on. */
     public record Surroundings(Scheduler scheduler, StoreClient store, HttpCalls calls, CloudClient cloud,
-            Catalog catalog, Election election, Deployment deployment, Policy policy, String member) {
+            Catalog catalog, Election election, Deployment deployment, Policy policy, String member,
+            Set<String> others) {
     }
 
     /** What a worker is answered; null orders mean that this node may not act. */
@@ -46,6 +49,7 @@
     private final Rentals rentals;
     private final WorkerDesk desk;
     private final Map<String, Waiting> waiting = new HashMap<>();
+    private final Set<String> stoodBack = new HashSet<>();
     private boolean ready;
     private boolean planSoon;
     private int progressFrom;
@@ -100,7 +104,7 @@
     private void inherit(MachineRecord record) {
         Machine machine = fleet.add(record.id(), record.type(), record.zone(), record.spot(), record.owned(),
                 record.rentedWallMicros());
-        machine.answeredMicros += term.safety.answerMicros();
+        machine.answeredMicros += othersStoodBack() ? 0 : term.safety.answerMicros();
         machine.retiring = record.retiring();
         machine.retiringDurable = record.retiring();
         for (MachineRecord.Entry entry : record.entries()) {
@@ -108,6 +112,28 @@
         }
     }
 
+    private boolean othersStoodBack() {
+        return stoodBack.containsAll(around.others());
+    }
+
+    /**
+     * Another controller has said that it knows of this term, so it does not answer for an earlier one any
+     * more. Once all have, no machine's lease can be renewed but by this leader: a machine that has died
+     * is then known to be empty a lease later, without the time an earlier leader might have gone on.
+     */
+    public void standsBack(String member) {
+        boolean before = othersStoodBack();
+        stoodBack.add(member);
+        if (!before && othersStoodBack()) {
+            long now = term.scheduler.nowMicros();
+            for (Machine machine : term.cluster.machines.values()) {
+                if (!machine.reported) {
+                    machine.answeredMicros = Math.min(machine.answeredMicros, now);
+                }
+            }
+        }
+    }
+
     public void end() {
         term.close();
         for (Waiting late : waiting.values()) {
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -13,6 +13,9 @@
  */
 final class Placer {
     private static final int MOST_PER_ROUND = 256;
+    /** What another replica on the machine weighs, in seconds of fetching: of the same job, of any. */
+    private static final double SAME_JOB_S = 1.3;
+    private static final double NEIGHBOUR_S = 0.3;
     /** Keeps the record of a machine within one stored value. */
     private static final int ENTRY_BYTES = 110;
 
@@ -150,9 +153,10 @@
             cost += 2;
         }
         if (spec.kind() == Kind.SERVICE) {
-            for (Assignment assignment : job.assignments) {
-                if (assignment.machine == machine) {
-                    cost += 1;
+            // One machine's end should take few replicas with it: they are missing for a whole lease.
+            for (Assignment assignment : machine.assignments.values()) {
+                if (assignment.job != null && assignment.job.spec.kind() == Kind.SERVICE) {
+                    cost += assignment.job == job ? SAME_JOB_S : NEIGHBOUR_S;
                 }
             }
         }
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -106,7 +106,7 @@
         users = new UserDesk(scheduler, store, catalog, deployment.teams(), deployment.state().valueBytes(),
                 this::progress);
         surroundings = new Leader.Surroundings(scheduler, store, calls, cloud, catalog, election, deployment, policy,
-                settings.member());
+                settings.member(), Set.copyOf(settings.peers().keySet()));
     }
 
     public void start() {
@@ -149,6 +149,9 @@
             if (frame instanceof MeshFrame.Pulse pulse) {
                 heard.put(pulse.member(), new Heard(pulse.storeAnswers(), scheduler.nowMicros()));
                 election.heard(pulse.term(), pulse.leader());
+                if (leader != null && pulse.term() >= leader.number()) {
+                    leader.standsBack(pulse.member());
+                }
             } else if (frame instanceof MeshFrame.Progress progress && progress.term() >= election.highestTerm()) {
                 progress.jobs().forEach(job -> told.put(job.job(), job));
             }
--- a/src/main/java/madderrudder/service/Settings.java
+++ b/src/main/java/madderrudder/service/Settings.java
@@ -13,8 +13,8 @@
 import madderrudder.protocol.Resources;
 import madderrudder.transport.Addresses;
 
-/** The platform's settings, checked. */
-public record Settings(String member, String zone, String clientListen, String meshListen, List<String> peers,
+/** The platform's settings, checked. {@code peers} gives the other controllers' addresses by their names. */
+public record Settings(String member, String zone, String clientListen, String meshListen, Map<String, String> peers,
         String cloudAddress, String stateAddress, Deployment deployment, int maxSockets) {
     /** Less than this leaves no time to hear from the store twice before workers must be let go. */
     private static final long LEAST_ANSWER_MICROS = 4_000_000;
@@ -86,9 +86,13 @@
         } catch (MalformedMessage e) {
             throw new Invalid(List.of("the settings are " + e.getMessage()));
         }
-        List<String> peers = new ArrayList<>();
+        Map<String, String> peers = new LinkedHashMap<>();
         for (Fields peer : check.read("members", List.<Fields>of(), () -> in.objects("members"))) {
-            peers.add(check.address("members[" + peers.size() + "].", peer, "peer_addr"));
+            String path = "members[" + peers.size() + "].";
+            String name = check.read(path + "member", "", () -> peer.text("member"));
+            if (peers.put(name, check.address(path, peer, "peer_addr")) != null) {
+                check.problems.add(path + "member: named twice");
+            }
         }
         Fields external = check.read("external", nothing, () -> in.object("external"));
         Fields deployment = check.read("deployment", nothing, () -> in.object("deployment"));
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -175,6 +175,17 @@
         assertEquals(4, Placer.plan(hasty, POLICY, SECOND).size());
     }
 
+    /** Most replicas once sat on the largest machine, and were missing for a lease when it died. */
+    @Test
+    void replicasSpreadOverMachines() {
+        Machine crowded = machine("m-0", "east", true);
+        Machine other = machine("m-1", "east", true);
+        put(job("req-1", "alto", Kind.SERVICE, Priority.PRODUCTION, 1, 1, false), 0, crowded);
+        put(job("req-2", "alto", Kind.ARRAY, Priority.NORMAL, 1, 1, false), 0, other);
+        job("req-3", "basso", Kind.SERVICE, Priority.PRODUCTION, 1, 1, false);
+        assertEquals(List.of(other), Placer.plan(cluster, POLICY, SECOND).stream().map(Placement::machine).toList());
+    }
+
     @Test
     void aGangIsPlacedWholeOrNotAtAll() {
         machine("m-0", "east", true);
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -66,12 +66,18 @@
         return List.copyOf(addresses.keySet());
     }
 
+    private Map<String, String> peersOf(String name) {
+        Map<String, String> peers = new LinkedHashMap<>(addresses);
+        peers.remove(name);
+        return peers;
+    }
+
     void start(String name) {
         Sim.Host clock = sim.new Host(1 + (sim.random.nextDouble() - 0.5) * 0.001, sim.random.nextLong(500_000));
         // Each node has its own way to the store, so that one alone can be refused.
         String way = "10.2.1." + (names().indexOf(name) + 1) + ":1";
         net.serve(way, "store", store.exchangeFor(name));
-        Settings settings = new Settings(name, "east", addresses.get(name), "10.0.0.9:1", List.of(), "10.2.0.2:1", way,
+        Settings settings = new Settings(name, "east", addresses.get(name), "10.0.0.9:1", peersOf(name), "10.2.0.2:1", way,
                 told, 1000);
         Node node = new Node(clock, net.callsFrom(name, clock), frame -> {
             for (String other : names()) {
