--- a/src/main/java/madderrudder/coordination/Election.java
+++ b/src/main/java/madderrudder/coordination/Election.java
@@ -25,6 +25,7 @@
     private static final long RETRY_MICROS = 200_000;
     private static final long CHECK_MICROS = 300_000;
     private static final long FOLLOW_MICROS = 2_000_000;
+    private static final long YIELD_MICROS = 4_000_000;
     private static final int EXTENSIONS_PER_HOLD = 4;
 
     /** What becomes of a node. */
@@ -48,6 +49,7 @@
     private long highestTerm;
     private String leader;
     private boolean vacant;
+    private long notBeforeMicros = Long.MIN_VALUE;
 
     public Election(Scheduler scheduler, StoreClient store, RandomGenerator random, String member, long holdMicros,
             Listener listener) {
@@ -100,6 +102,12 @@
         }
     }
 
+    /** Steps down in favour of another node: this one does not campaign for a while. */
+    public void yield(String why) {
+        notBeforeMicros = scheduler.nowMicros() + YIELD_MICROS;
+        stepDown(why);
+    }
+
     public void stepDown(String why) {
         if (!leading) {
             return;
@@ -171,7 +179,7 @@
     }
 
     private void campaignIfVacant() {
-        if (!vacant || leading || campaigning) {
+        if (!vacant || leading || campaigning || scheduler.nowMicros() < notBeforeMicros) {
             return;
         }
         campaigning = true;
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -31,6 +31,8 @@
     /** An answer waits this long for records that become durable meanwhile. */
     private static final long ANSWER_WAIT_MICROS = 250_000;
     private static final int MOST_PROGRESS = 1_000;
+    private static final long DEAF_SLACK_MICROS = 1_000_000;
+    private static final int LEAST_HEARD = 3;
 
     /** What a leader stands on. */
     public record Surroundings(Scheduler scheduler, StoreClient store, HttpCalls calls, CloudClient cloud,
@@ -202,11 +204,33 @@
     }
 
     private void tick() {
+        if (deaf()) {
+            term.election.yield("most machines have fallen silent at once");
+            return;
+        }
         fleet.lapseSilent(term.scheduler.nowMicros());
         term.cluster.types = around.catalog().types();
         plan();
     }
 
+    /**
+     * A leader that the workers can't reach holds the lead while their leases run out. Machines rarely fall
+     * silent together by themselves, so another node had better try, while the leases still last. In an
+     * outage of the store nobody could, and the lead is kept.
+     */
+    private boolean deaf() {
+        long limit = 2 * term.deployment.workers().reportMicros() + DEAF_SLACK_MICROS;
+        int heard = 0;
+        int silent = 0;
+        for (Machine machine : term.cluster.machines.values()) {
+            if (machine.reported && !machine.lapsed && !machine.retiring) {
+                heard++;
+                silent += term.scheduler.nowMicros() - machine.answeredMicros > limit ? 1 : 0;
+            }
+        }
+        return heard >= LEAST_HEARD && 3 * silent >= 2 * heard && term.election.entitled();
+    }
+
     private void planSoon() {
         if (!planSoon) {
             planSoon = true;
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -53,6 +53,19 @@
         }
     }
 
+    /** A leader that no worker can reach once kept the lead until all leases had run out. */
+    @Test
+    void aDeafLeaderMakesWay() {
+        World world = day(2, World.usualWorkers());
+        world.run(60 * World.SECOND);
+        String deaf = world.names().stream().filter(world::leads).findFirst().orElseThrow();
+        world.cutFromWorkers(deaf, true, 60 * World.SECOND);
+        world.run(68 * World.SECOND);
+        assertTrue(world.names().stream().anyMatch(name -> world.leads(name) && !name.equals(deaf)));
+        world.run(130 * World.SECOND);
+        assertEquals(List.of(), world.rules.broken);
+    }
+
     /** Controllers that take leases for shorter than they are start tasks again too early: the checker sees it. */
     @Test
     void checkerSeesTasksRunningTwice() {
