--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -253,7 +253,7 @@
         for (Placement placement : Placer.plan(term.cluster, term.policy, now)) {
             place(placement);
         }
-        for (Assignment victim : Preemption.plan(term.cluster, now)) {
+        for (Assignment victim : Preemption.plan(term.cluster, term.policy, now)) {
             LOG.debug("stopping {} on {} to make room", victim.task, victim.machine.id);
             victim.unwanted = true;
         }
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.MachineType;
@@ -24,6 +25,7 @@
     private final long nowMicros;
     private final int mostPerMachine;
     private final List<Placement> placements = new ArrayList<>();
+    private final Set<Job> guaranteed;
     private final long keptMilliCpus;
     private long freeMilliCpus;
     private Room room;
@@ -34,6 +36,7 @@
         this.nowMicros = nowMicros;
         mostPerMachine = Math.max(1, (cluster.deployment.state().valueBytes() - 512) / ENTRY_BYTES);
         room = new Room(cluster);
+        guaranteed = cluster.guaranteedJobs();
         long fastestBoot = cluster.types.values().stream().mapToLong(MachineType::bootMicros).min().orElse(0);
         boolean rentingTooSlow = cluster.deployment.shortestWaitMicros() < fastestBoot;
         long all = 0;
@@ -48,7 +51,7 @@
 
     static List<Placement> plan(Cluster cluster, Policy policy, long nowMicros) {
         Placer placer = new Placer(cluster, policy, nowMicros);
-        for (Job job : cluster.waitingJobs(cluster.guaranteedJobs())) {
+        for (Job job : cluster.waitingJobs(placer.guaranteed)) {
             if (placer.placements.size() >= MOST_PER_ROUND) {
                 break;
             }
@@ -83,7 +86,7 @@
 
     /** Room for work that must start sooner than a machine boots; what is ordinary rents instead. */
     private boolean eatsHeadroom(Job job) {
-        return Priority.HIGH.above(job.spec.priority())
+        return Priority.HIGH.above(job.spec.priority()) && !guaranteed.contains(job)
                 && freeMilliCpus - job.spec.perTask().milliCpus() < keptMilliCpus;
     }
 
--- a/src/main/java/madderrudder/coordination/Preemption.java
+++ b/src/main/java/madderrudder/coordination/Preemption.java
@@ -17,22 +17,24 @@
  */
 final class Preemption {
     private final Cluster cluster;
+    private final Policy policy;
     private final long nowMicros;
     private final Map<Machine, Resources> coming = new HashMap<>();
     private final Map<String, Resources> usage;
     private final Set<Assignment> victims = new HashSet<>();
     private final Set<Job> guaranteedJobs;
 
-    private Preemption(Cluster cluster, long nowMicros) {
+    private Preemption(Cluster cluster, Policy policy, long nowMicros) {
         this.cluster = cluster;
+        this.policy = policy;
         this.nowMicros = nowMicros;
         usage = cluster.usage();
         guaranteedJobs = cluster.guaranteedJobs();
     }
 
     /** To be called after placement: whatever still waits has found no free room. */
-    static Set<Assignment> plan(Cluster cluster, long nowMicros) {
-        Preemption preemption = new Preemption(cluster, nowMicros);
+    static Set<Assignment> plan(Cluster cluster, Policy policy, long nowMicros) {
+        Preemption preemption = new Preemption(cluster, policy, nowMicros);
         Room room = new Room(cluster);
         for (Job job : cluster.waitingJobs(preemption.guaranteedJobs)) {
             if (job.spec.kind() != Kind.GANG && !job.faulty()) {
@@ -47,6 +49,7 @@
         if (!guaranteed && job.spec.priority() == Priority.LOW) {
             return;
         }
+        boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
         for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
             if (!job.ready(task, nowMicros)) {
                 continue;
@@ -54,11 +57,13 @@
             if (!room.teamAllows(job)) {
                 return;
             }
+            // Room on a machine that the task may not use yet would go to another, and be made again and again.
+            boolean rentedToo = !ownedFits || nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
             Machine found = null;
             List<Assignment> chosen = null;
             for (Machine machine : cluster.machines.values()) {
                 if (!machine.usable(nowMicros, cluster.deployment.workers().reportMicros())
-                        || machine.recallMicros >= 0 || !cluster.allowed(job, machine)
+                        || machine.recallMicros >= 0 || !machine.owned && !rentedToo || !cluster.allowed(job, machine)
                         || !room.zoneAllows(job, machine.zone)
                         || !job.spec.perTask().fits(machine.type.capacity())) {
                     continue;
