--- a/src/main/java/madderrudder/bookkeeping/Budget.java
+++ b/src/main/java/madderrudder/bookkeeping/Budget.java
@@ -1,6 +1,8 @@
 package madderrudder.bookkeeping;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import madderrudder.protocol.Fields;
@@ -11,11 +13,20 @@
  * Counts the machines rented within a sliding window. The times are times of day, because the count
  * outlives the process; the window is stretched by how far two clocks may differ, so a take-over by
  * a node with another clock never lets more through.
+ *
+ * <p>Reservations made close together are kept as one, counted from the last of them, so that what is
+ * stored stays small however many machines a window allows.
  */
 public final class Budget {
+    /** At most this many entries are kept within a window. */
+    private static final int ENTRIES = 100;
+
     private final int most;
     private final long windowMicros;
-    private final Deque<Long> spentWallMicros = new ArrayDeque<>();
+    private final Deque<Spent> spent = new ArrayDeque<>();
+
+    private record Spent(long firstWallMicros, long lastWallMicros, int count) {
+    }
 
     public Budget(int most, long windowMicros, long clockOffMicros) {
         this.most = most;
@@ -23,10 +34,14 @@
     }
 
     public int left(long wallMicros) {
-        while (!spentWallMicros.isEmpty() && spentWallMicros.peekFirst() <= wallMicros - windowMicros) {
-            spentWallMicros.pollFirst();
+        while (!spent.isEmpty() && spent.peekFirst().lastWallMicros() <= wallMicros - windowMicros) {
+            spent.pollFirst();
         }
-        return Math.max(0, most - spentWallMicros.size());
+        int used = 0;
+        for (Spent some : spent) {
+            used += some.count();
+        }
+        return Math.max(0, most - used);
     }
 
     /** Reserves rentals; false, and nothing reserved, if that many are not left. */
@@ -34,25 +49,42 @@
         if (left(wallMicros) < count) {
             return false;
         }
-        for (int i = 0; i < count; i++) {
-            spentWallMicros.addLast(wallMicros);
-        }
+        add(new Spent(wallMicros, wallMicros, count));
         return true;
     }
 
+    private void add(Spent more) {
+        Spent last = spent.peekLast();
+        if (last != null && more.lastWallMicros() - last.firstWallMicros() < windowMicros / ENTRIES) {
+            spent.pollLast();
+            spent.addLast(new Spent(last.firstWallMicros(),
+                    Math.max(last.lastWallMicros(), more.lastWallMicros()), last.count() + more.count()));
+        } else {
+            spent.addLast(more);
+        }
+    }
+
     public byte[] render() {
-        List<Long> times = List.copyOf(spentWallMicros);
+        List<Spent> all = List.copyOf(spent);
         return Json.object(out -> {
-            out.writeArrayFieldStart("spent_us");
-            for (long time : times) {
-                out.writeNumber(time);
+            out.writeArrayFieldStart("spent");
+            for (Spent some : all) {
+                out.writeStartObject();
+                out.writeNumberField("us", some.lastWallMicros());
+                out.writeNumberField("n", some.count());
+                out.writeEndObject();
             }
             out.writeEndArray();
         });
     }
 
     public void load(Fields in) throws MalformedMessage {
-        spentWallMicros.clear();
-        in.counts("spent_us").stream().sorted().forEach(spentWallMicros::addLast);
+        List<Spent> all = new ArrayList<>();
+        for (Fields some : in.objects("spent")) {
+            all.add(new Spent(some.count("us"), some.count("us"), some.smallCount("n")));
+        }
+        all.sort(Comparator.comparingLong(Spent::lastWallMicros));
+        spent.clear();
+        all.forEach(this::add);
     }
 }
--- a/src/main/java/madderrudder/bookkeeping/Journal.java
+++ b/src/main/java/madderrudder/bookkeeping/Journal.java
@@ -25,6 +25,7 @@
 public final class Journal {
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
     private static final long RETRY_MICROS = 150_000;
+    private static final long LATER_MICROS = 1_000_000;
     /** One write in this many may rewrite the term key. */
     private static final double HELM_SHARE = 3;
     private static final int MOST_BYTES = 48 * 1024;
@@ -38,11 +39,13 @@
     private final Pace pace;
     private final Runnable onLost;
     private final Map<String, Change> waiting = new LinkedHashMap<>();
+    private final Map<String, Change> later = new LinkedHashMap<>();
     private long helmVersion;
     private long serial;
     private long nextMicros;
     private boolean inFlight;
     private boolean scheduled;
+    private boolean lateScheduled;
     private boolean closed;
 
     /** What one transaction carries. */
@@ -78,17 +81,33 @@
     public void close() {
         closed = true;
         waiting.clear();
+        later.clear();
     }
 
     /** Writes the change soon, together with others named in the same turn. */
     public void add(Change change) {
+        later.remove(change.name());
         waiting.putIfAbsent(change.name(), change);
         flushSoon();
     }
 
+    /**
+     * Writes the change with the next ones that leave room for it, or a little later. If it is named by
+     * {@link #add} before, it goes with those.
+     */
+    public void addLater(Change change) {
+        if (!waiting.containsKey(change.name()) && later.putIfAbsent(change.name(), change) == null && !lateScheduled) {
+            lateScheduled = true;
+            scheduler.after(LATER_MICROS, () -> {
+                lateScheduled = false;
+                flushSoon();
+            });
+        }
+    }
+
     /** Transactions keep a distance, so that rewriting the term key takes only a part of the write rate. */
     private void flushSoon() {
-        if (scheduled || inFlight || closed || waiting.isEmpty()) {
+        if (scheduled || inFlight || closed || waiting.isEmpty() && (later.isEmpty() || lateScheduled)) {
             return;
         }
         scheduled = true;
@@ -103,7 +122,7 @@
     }
 
     private void flush() {
-        if (closed || inFlight || waiting.isEmpty()) {
+        if (closed || inFlight || waiting.isEmpty() && later.isEmpty()) {
             return;
         }
         Batch batch = build();
@@ -126,25 +145,51 @@
         serial++;
         writes.add(Write.put(Keys.HELM, helm(term, member, serial)));
         int bytes = 512;
-        for (var iterator = waiting.values().iterator(); iterator.hasNext();) {
-            Change change = iterator.next();
-            List<Write> more = change.writes();
-            int size = 0;
-            for (Write write : more) {
-                size += write.key().length() + 64 + (write.value() == null ? 0 : write.value().length);
-            }
-            if (!changes.isEmpty() && (writes.size() + more.size() > mostWrites || bytes + size > MOST_BYTES)) {
-                break;
-            }
-            iterator.remove();
-            changes.add(change);
-            writes.addAll(more);
-            conditions.addAll(change.conditions());
-            bytes += size;
+        // What can wait only takes what the rate leaves over.
+        int spare = (int) Math.min(mostWrites, pace.left());
+        Filling filling = new Filling(changes, conditions, writes, 512);
+        if (filling.from(waiting, mostWrites)) {
+            filling.from(later, spare);
         }
         return new Batch(changes, conditions, StoreCodec.commit(conditions, writes), writes.size(), serial);
     }
 
+    /** A transaction being filled. */
+    private static final class Filling {
+        private final List<Change> changes;
+        private final List<Condition> conditions;
+        private final List<Write> writes;
+        private int bytes;
+
+        Filling(List<Change> changes, List<Condition> conditions, List<Write> writes, int bytes) {
+            this.changes = changes;
+            this.conditions = conditions;
+            this.writes = writes;
+            this.bytes = bytes;
+        }
+
+        /** Takes changes while they fit; false if some were left. Even a large one goes alone. */
+        boolean from(Map<String, Change> queue, int mostWrites) {
+            for (var iterator = queue.values().iterator(); iterator.hasNext();) {
+                Change change = iterator.next();
+                List<Write> more = change.writes();
+                int size = 0;
+                for (Write write : more) {
+                    size += write.key().length() + 64 + (write.value() == null ? 0 : write.value().length);
+                }
+                if (!changes.isEmpty() && (writes.size() + more.size() > mostWrites || bytes + size > MOST_BYTES)) {
+                    return false;
+                }
+                iterator.remove();
+                changes.add(change);
+                writes.addAll(more);
+                conditions.addAll(change.conditions());
+                bytes += size;
+            }
+            return true;
+        }
+    }
+
     private void send(Batch batch, boolean maybeApplied) {
         store.commitUrgent(batch.body(), reply -> {
             if (closed) {
--- a/src/main/java/madderrudder/bookkeeping/Pace.java
+++ b/src/main/java/madderrudder/bookkeeping/Pace.java
@@ -41,6 +41,12 @@
         return true;
     }
 
+    /** What may be spent at this moment. */
+    public double left() {
+        fill();
+        return queue.isEmpty() ? tokens : 0;
+    }
+
     private void pump() {
         if (pumping) {
             return;
--- a/src/main/java/madderrudder/coordination/Assignment.java
+++ b/src/main/java/madderrudder/coordination/Assignment.java
@@ -9,6 +9,7 @@
     final TaskId task;
     final long attempt;
     final Machine machine;
+    private final Machine.Key key;
     final String team;
     final Resources takes;
     /** Null when the job is over and its description gone. */
@@ -26,6 +27,8 @@
     boolean startSent;
     /** The answer to the report with this sequence number carried the start. */
     long startSeq = -1;
+    /** The last report of this session that named the task. */
+    long reportedSeq = -1;
     long stopSentMicros = -1;
     Phase phase;
     long placedMicros;
@@ -36,6 +39,7 @@
         this.task = task;
         this.attempt = attempt;
         this.machine = machine;
+        key = new Machine.Key(task, attempt);
         this.team = team;
         this.takes = takes;
         this.job = job;
@@ -43,6 +47,10 @@
         this.placedMicros = nowMicros;
     }
 
+    Machine.Key key() {
+        return key;
+    }
+
     /** Whether the worker has said that it has the task. */
     boolean seen() {
         return phase != null;
--- a/src/main/java/madderrudder/coordination/Cluster.java
+++ b/src/main/java/madderrudder/coordination/Cluster.java
@@ -1,17 +1,15 @@
 package madderrudder.coordination;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.MachineType;
-import madderrudder.protocol.Priority;
 import madderrudder.protocol.Resources;
+import madderrudder.protocol.TaskId;
 
 /** The leader's picture: live jobs, machines, and what may be where. */
 public final class Cluster {
@@ -19,86 +17,99 @@
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Machine> machines = new LinkedHashMap<>();
     Map<String, MachineType> types = Map.of();
+    // Kept up to date with every change: made anew, they would cost more with each task and machine there is.
+    private final Set<Machine> owned = new LinkedHashSet<>();
+    private final Map<String, Resources> usage = new HashMap<>();
+    private final Map<TaskId, Integer> strayed = new HashMap<>();
 
     Cluster(Deployment deployment) {
         this.deployment = deployment;
     }
 
-    /** What each team may be using, machines that can't be reached included. */
-    Map<String, Resources> usage() {
-        Map<String, Resources> usage = new HashMap<>();
-        for (Machine machine : machines.values()) {
-            for (Assignment assignment : machine.assignments.values()) {
-                if (!assignment.completed) {
-                    usage.merge(assignment.team, assignment.takes, Resources::plus);
-                }
-            }
-            for (Machine.Stray stray : machine.strays) {
-                usage.merge(stray.team(), stray.takes(), Resources::plus);
-            }
+    /** Puts a machine into the picture. */
+    void add(Machine machine) {
+        machines.put(machine.id, machine);
+        if (machine.owned) {
+            owned.add(machine);
         }
-        return usage;
     }
 
-    /** Whether the worker of some machine says it has the task though no record names it there. */
-    boolean strayed(String job, int task) {
-        for (Machine machine : machines.values()) {
-            for (Machine.Stray stray : machine.strays) {
-                if (stray.key().task().index() == task && stray.key().task().job().equals(job)) {
-                    return true;
-                }
-            }
+    /** Takes an empty machine out of the picture. */
+    void remove(Machine machine) {
+        machines.remove(machine.id);
+        owned.remove(machine);
+    }
+
+    /** A task may be on a machine from now on: it counts against the machine, the team, the job and the zone. */
+    void hold(Assignment assignment) {
+        assignment.machine.assignments.put(assignment.key(), assignment);
+        if (assignment.job != null) {
+            assignment.job.hold(assignment);
+        }
+        if (!assignment.completed) {
+            take(assignment.machine, assignment.team, assignment.takes);
         }
-        return false;
     }
 
-    /**
-     * The jobs that lie within their team's guarantee: each fits into it together with the team's
-     * earlier unfinished jobs.
-     */
-    Set<Job> guaranteedJobs() {
-        Map<String, Resources> demand = new HashMap<>();
-        List<Job> byAge = new ArrayList<>(jobs.values());
-        byAge.sort(Comparator.comparingLong(job -> job.acceptedWallMicros));
-        Set<Job> guaranteed = new HashSet<>();
-        for (Job job : byAge) {
-            Resources total = demand.merge(job.spec.team(), job.spec.perTask().times(job.undone()), Resources::plus);
-            if (job.team.guarantees(total)) {
-                guaranteed.add(job);
-            }
+    /** The task is surely not there any more; false if it was not counted in the first place. */
+    boolean release(Assignment assignment, long nowMicros) {
+        if (assignment.machine.assignments.remove(assignment.key()) == null) {
+            return false;
+        }
+        if (assignment.job != null) {
+            assignment.job.release(assignment, nowMicros);
+        }
+        if (!assignment.completed) {
+            giveBack(assignment.machine, assignment.team, assignment.takes);
+        }
+        return true;
+    }
+
+    /** The task has completed, and uses nothing from now on. */
+    void complete(Assignment assignment) {
+        if (!assignment.completed) {
+            assignment.completed = true;
+            giveBack(assignment.machine, assignment.team, assignment.takes);
         }
-        return guaranteed;
     }
 
-    /**
-     * The jobs that wait for room, in the order in which they shall get it: production, then what lies
-     * within a guarantee, then by priority. What may be stopped for a job always comes after it here, so
-     * room made by stopping never goes back to what was stopped.
-     */
-    List<Job> waitingJobs(Set<Job> guaranteed) {
-        List<Job> waiting = new ArrayList<>();
-        for (Job job : jobs.values()) {
-            if (!job.over && job.nextWaiting(0) >= 0) {
-                waiting.add(job);
-            }
+    /** The worker says that it has these tasks, which no record names there. */
+    void strays(Machine machine, List<Machine.Stray> found) {
+        for (Machine.Stray stray : machine.strays) {
+            giveBack(machine, stray.team(), stray.takes());
+            strayed.computeIfPresent(stray.key().task(), (task, count) -> count == 1 ? null : count - 1);
         }
-        waiting.sort(Comparator.<Job>comparingInt(job -> job.spec.priority() == Priority.PRODUCTION ? 0
-                        : guaranteed.contains(job) ? 1 : 2)
-                .thenComparingInt(job -> job.spec.priority().ordinal())
-                .thenComparing(job -> !guaranteed.contains(job))
-                .thenComparingLong(Cluster::urgency));
-        return waiting;
+        machine.strays = found;
+        for (Machine.Stray stray : found) {
+            take(machine, stray.team(), stray.takes());
+            strayed.merge(stray.key().task(), 1, Integer::sum);
+        }
+    }
+
+    private void take(Machine machine, String team, Resources takes) {
+        machine.used = machine.used.plus(takes);
+        usage.merge(team, takes, Resources::plus);
     }
 
-    private static long urgency(Job job) {
-        return job.spec.deadlineMicros() > 0 ? job.acceptedWallMicros + job.spec.deadlineMicros()
-                : job.acceptedWallMicros + 120_000_000;
+    private void giveBack(Machine machine, String team, Resources takes) {
+        machine.used = machine.used.minus(takes);
+        usage.merge(team, takes, Resources::minus);
+    }
+
+    /** What each team may be using, machines that can't be reached included. A copy. */
+    Map<String, Resources> usage() {
+        return new HashMap<>(usage);
+    }
+
+    /** Whether the worker of some machine says it has the task though no record names it there. */
+    boolean strayed(String job, int task) {
+        return !strayed.isEmpty() && strayed.containsKey(new TaskId(job, task));
     }
 
     /** Some owned machine that is there could take a task of the job, if it were empty. */
     boolean ownedCouldFit(Job job, long nowMicros) {
-        for (Machine machine : machines.values()) {
-            if (machine.owned && !machine.lapsed && !machine.failed && !machine.faulty(nowMicros)
+        for (Machine machine : owned) {
+            if (!machine.lapsed && !machine.failed && !machine.faulty(nowMicros)
                     && allowed(job, machine)
                     && job.spec.perTask().fits(machine.type.capacity())) {
                 return true;
@@ -125,11 +136,7 @@
             return false;
         }
         if (spec.oneZone()) {
-            for (Assignment assignment : job.assignments) {
-                if (!assignment.machine.zone.equals(zone)) {
-                    return false;
-                }
-            }
+            return job.onlyIn(zone);
         }
         return true;
     }
--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -11,6 +12,7 @@
 import madderrudder.protocol.MachineType;
 import madderrudder.protocol.Resources;
 import madderrudder.protocol.StoreCodec.Write;
+import madderrudder.protocol.TaskId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,6 +22,7 @@
 
     private final Term term;
     private final Set<String> removed = new HashSet<>();
+    private final Set<Machine> touched = new LinkedHashSet<>();
     private Consumer<Machine> onDurable = machine -> { };
 
     Fleet(Term term) {
@@ -37,7 +40,7 @@
             known = new MachineType(type, Resources.NONE, 0, 1, 0, 0, 0, List.of(zone));
         }
         Machine machine = new Machine(id, known, zone, spot, owned, rentedWallMicros, term.scheduler.nowMicros());
-        term.cluster.machines.put(id, machine);
+        term.cluster.add(machine);
         return machine;
     }
 
@@ -47,10 +50,9 @@
     }
 
     Assignment assign(Machine machine, Job job, int task, long attempt) {
-        Assignment assignment = new Assignment(new madderrudder.protocol.TaskId(job.spec.id(), task), attempt, machine,
+        Assignment assignment = new Assignment(new TaskId(job.spec.id(), task), attempt, machine,
                 job.spec.team(), job.spec.perTask(), job, false, term.scheduler.nowMicros());
-        machine.assignments.put(new Machine.Key(assignment.task, attempt), assignment);
-        job.hold(assignment);
+        term.cluster.hold(assignment);
         save(machine);
         return assignment;
     }
@@ -63,44 +65,55 @@
         Assignment assignment = new Assignment(entry.task(), entry.attempt(), machine, entry.team(), entry.takes(),
                 job, true, term.scheduler.nowMicros());
         assignment.durable = true;
-        machine.assignments.put(new Machine.Key(entry.task(), entry.attempt()), assignment);
         if (job == null || job.done.get(entry.task().index())) {
             assignment.unwanted = true;
         }
-        if (job != null) {
-            job.hold(assignment);
-        }
+        term.cluster.hold(assignment);
         return assignment;
     }
 
-    /** The task is surely not on the machine any more. */
+    /** The task shall not run there any more; its worker will hear of it. */
+    void unwant(Assignment assignment) {
+        assignment.unwanted = true;
+        touched.add(assignment.machine);
+    }
+
+    /** The machines with something new to be told, each named once. */
+    List<Machine> takeTouched() {
+        List<Machine> machines = List.copyOf(touched);
+        touched.clear();
+        return machines;
+    }
+
+    /**
+     * The task is surely not on the machine any more. Its record may outlive it for a moment: that only
+     * makes a new leader more careful, so it goes with what is written of the machine next, or when there
+     * is little else to write.
+     */
     void release(Assignment assignment) {
         Machine machine = assignment.machine;
         long now = term.scheduler.nowMicros();
-        if (machine.assignments.remove(new Machine.Key(assignment.task, assignment.attempt)) == null) {
+        if (!term.cluster.release(assignment, now)) {
             return;
         }
-        if (assignment.job != null) {
-            assignment.job.release(assignment, now);
-        }
         if (machine.empty()) {
             machine.idleSinceMicros = now;
         }
-        save(machine);
+        term.journal.addLater(new MachineChange(machine));
     }
 
     void releaseAll(Machine machine) {
         for (Assignment assignment : List.copyOf(machine.assignments.values())) {
             release(assignment);
         }
-        machine.strays.clear();
+        term.cluster.strays(machine, List.of());
         machine.unforgettable.clear();
     }
 
     /** The cloud has confirmed the deletion: the machine and everything on it is gone. */
     void remove(Machine machine) {
         releaseAll(machine);
-        term.cluster.machines.remove(machine.id);
+        term.cluster.remove(machine);
         removed.add(machine.id);
         save(machine);
     }
@@ -127,6 +140,11 @@
         }
     }
 
+    /** What the store was to learn of the machine's tasks it knows now. */
+    void settled(Machine machine) {
+        onDurable.accept(machine);
+    }
+
     void save(Machine machine) {
         term.journal.add(new MachineChange(machine));
     }
--- a/src/main/java/madderrudder/coordination/Job.java
+++ b/src/main/java/madderrudder/coordination/Job.java
@@ -31,6 +31,9 @@
     long gangAttempt;
     boolean gangRan;
     private final BitSet held = new BitSet();
+    /** How often a task is held: while an old attempt lingers, more than once. */
+    private final Map<Integer, Integer> holds = new HashMap<>();
+    private final Map<String, Integer> inZones = new HashMap<>();
     private final Map<Integer, Long> waitSince = new HashMap<>();
     private final Map<Integer, Long> notBefore = new HashMap<>();
     private final Map<Integer, Integer> errors = new HashMap<>();
@@ -45,15 +48,22 @@
         this.seenMicros = nowMicros;
     }
 
+    /** To be called by the cluster alone, which keeps its own totals beside these. */
     void hold(Assignment assignment) {
-        assignments.add(assignment);
-        held.set(assignment.task.index());
+        if (assignments.add(assignment)) {
+            holds.merge(assignment.task.index(), 1, Integer::sum);
+            held.set(assignment.task.index());
+            inZones.merge(assignment.machine.zone, 1, Integer::sum);
+        }
     }
 
     void release(Assignment assignment, long nowMicros) {
-        assignments.remove(assignment);
+        if (!assignments.remove(assignment)) {
+            return;
+        }
+        inZones.computeIfPresent(assignment.machine.zone, (zone, count) -> count == 1 ? null : count - 1);
         int index = assignment.task.index();
-        if (assignments.stream().noneMatch(a -> a.task.index() == index)) {
+        if (holds.computeIfPresent(index, (task, count) -> count == 1 ? null : count - 1) == null) {
             held.clear(index);
             waitSince.put(index, nowMicros);
         }
@@ -125,13 +135,12 @@
     }
 
     int inZone(String zone) {
-        int count = 0;
-        for (Assignment assignment : assignments) {
-            if (assignment.machine.zone.equals(zone)) {
-                count++;
-            }
-        }
-        return count;
+        return inZones.getOrDefault(zone, 0);
+    }
+
+    /** No task of the job may be in any other zone. */
+    boolean onlyIn(String zone) {
+        return inZones.isEmpty() || inZones.size() == 1 && inZones.containsKey(zone);
     }
 
     int runningCount() {
--- a/src/main/java/madderrudder/coordination/JobBook.java
+++ b/src/main/java/madderrudder/coordination/JobBook.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import madderrudder.bookkeeping.Change;
 import madderrudder.bookkeeping.JobRecords;
 import madderrudder.bookkeeping.Keys;
@@ -136,7 +138,7 @@
         job.over = true;
         term.cluster.jobs.remove(job.spec.id());
         for (Assignment assignment : List.copyOf(job.assignments)) {
-            assignment.unwanted = true;
+            fleet.unwant(assignment);
             if (assignment.completed) {
                 fleet.release(assignment);
             }
@@ -150,7 +152,7 @@
             fleet.release(assignment);
             return;
         }
-        assignment.completed = true;
+        term.cluster.complete(assignment);
         job.completed();
         if (job.spec.kind() == Kind.GANG) {
             job.done.set(0, job.spec.tasks());
@@ -216,9 +218,12 @@
             if (!job.unwritten.isEmpty()) {
                 term.journal.add(new JobChange(job));
             }
+            Set<Machine> settled = new LinkedHashSet<>();
             for (Assignment assignment : written) {
                 fleet.release(assignment);
+                settled.add(assignment.machine);
             }
+            settled.forEach(fleet::settled);
         }
 
         /** Its user cancelled it first; the watch brings that. */
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -28,6 +28,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final long TICK_MICROS = 250_000;
     private static final long SOON_MICROS = 5_000;
+    private static final int PAUSE_PER_PLAN = 4;
     /** An answer waits this long for records that become durable meanwhile. */
     private static final long ANSWER_WAIT_MICROS = 250_000;
     private static final int MOST_PROGRESS = 1_000;
@@ -54,6 +55,7 @@
     private final Set<String> stoodBack = new HashSet<>();
     private boolean ready;
     private boolean planSoon;
+    private long lastPlanMicros;
     private int progressFrom;
 
     private record Waiting(WorkerReport report, Consumer<Answer> answer) {
@@ -175,9 +177,6 @@
             answer.accept(new Answer(term.number, List.of()));
             return;
         }
-        if (planSoon) {
-            plan();
-        }
         if (!desk.unsettled(report.machine()) || !term.election.entitled()) {
             answer.accept(new Answer(term.number, desk.ordersFor(report)));
             return;
@@ -196,7 +195,7 @@
 
     /** A machine's record has been written: what waited for it may go out. */
     private void durable(Machine machine) {
-        Waiting wait = waiting.remove(machine.id);
+        Waiting wait = desk.unsettled(machine.id) ? null : waiting.remove(machine.id);
         if (wait != null) {
             wait.answer().accept(new Answer(term.number, desk.ordersFor(wait.report())));
         }
@@ -210,7 +209,10 @@
         }
         fleet.lapseSilent(term.scheduler.nowMicros());
         term.cluster.types = around.catalog().types();
+        rentals.returnIdle(term.scheduler.nowMicros());
         plan();
+        // A stop that was not heard is repeated.
+        term.cluster.machines.values().forEach(desk::push);
     }
 
     /**
@@ -231,10 +233,14 @@
         return heard >= LEAST_HEARD && 3 * silent >= 2 * heard && term.election.entitled();
     }
 
+    /**
+     * What happens close together is planned for at once. A round that took long is followed by a longer
+     * pause, so that planning never takes more than its part of the processor, however large the picture.
+     */
     private void planSoon() {
         if (!planSoon) {
             planSoon = true;
-            term.after(SOON_MICROS, () -> {
+            term.after(Math.max(SOON_MICROS, PAUSE_PER_PLAN * lastPlanMicros), () -> {
                 if (planSoon) {
                     plan();
                 }
@@ -250,17 +256,19 @@
         }
         long now = term.scheduler.nowMicros();
         desk.sweepGangs();
-        for (Placement placement : Placer.plan(term.cluster, term.policy, now)) {
-            place(placement);
-        }
-        for (Assignment victim : Preemption.plan(term.cluster, term.policy, now)) {
-            LOG.debug("stopping {} on {} to make room", victim.task, victim.machine.id);
-            victim.unwanted = true;
-        }
-        rentals.reconcile(now);
-        for (Machine machine : term.cluster.machines.values()) {
-            desk.push(machine);
+        Demand demand = Demand.of(term.cluster);
+        if (!demand.waiting().isEmpty()) {
+            for (Placement placement : Placer.plan(term.cluster, term.policy, demand, now)) {
+                place(placement);
+            }
+            for (Assignment victim : Preemption.plan(term.cluster, term.policy, demand, now)) {
+                LOG.debug("stopping {} on {} to make room", victim.task, victim.machine.id);
+                fleet.unwant(victim);
+            }
+            rentals.reconcile(demand, now);
         }
+        fleet.takeTouched().forEach(desk::push);
+        lastPlanMicros = term.scheduler.nowMicros() - now;
     }
 
     private void place(Placement placement) {
--- a/src/main/java/madderrudder/coordination/Machine.java
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -51,7 +51,10 @@
     boolean directInFlight;
     long directBlockedUntilMicros;
     final Map<Key, Assignment> assignments = new LinkedHashMap<>();
-    final List<Stray> strays = new ArrayList<>();
+    /** Tasks the worker reported that no record names. Replaced as a whole, by the cluster. */
+    List<Stray> strays = List.of();
+    /** What all that may be on the machine takes; kept by the cluster. */
+    Resources used = Resources.NONE;
     /** Attempts with a direct start of unknown fate: forgetting them would let it start them again. */
     final Set<Key> unforgettable = new HashSet<>();
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
@@ -81,16 +84,7 @@
 
     /** What is left once all that may be on the machine is taken off. */
     Resources free() {
-        Resources free = type.capacity();
-        for (Assignment assignment : assignments.values()) {
-            if (!assignment.completed) {
-                free = free.minus(assignment.takes);
-            }
-        }
-        for (Stray stray : strays) {
-            free = free.minus(stray.takes());
-        }
-        return free;
+        return type.capacity().minus(used);
     }
 
     boolean empty() {
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
+import java.util.PriorityQueue;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.MachineType;
@@ -11,48 +11,69 @@
 /**
  * Decides which waiting tasks go where: free owned room first, and rented room once a task has waited
  * the threshold or when no owned machine could ever take it. A pure function of what it is given.
+ *
+ * <p>The machines with room are looked at once for each job, not for each task: the tasks of a job are
+ * alike, so the best machine for the next one is found in a queue.
  */
 final class Placer {
-    private static final int MOST_PER_ROUND = 256;
     /** What another replica on the machine weighs, in seconds of fetching: of the same job, of any. */
     private static final double SAME_JOB_S = 1.3;
     private static final double NEIGHBOUR_S = 0.3;
+    private static final double RENTED_S = 1000;
+    private static final double STEADY_S = 2;
     /** Keeps the record of a machine within one stored value. */
     private static final int ENTRY_BYTES = 110;
+    /** A round fills this many transactions at most: more would wait for the store in any case. */
+    private static final int MOST_TRANSACTIONS = 8;
 
     private final Cluster cluster;
     private final Policy policy;
     private final long nowMicros;
     private final int mostPerMachine;
+    private final int mostPlacements;
     private final List<Placement> placements = new ArrayList<>();
-    private final Set<Job> guaranteed;
+    private final Demand demand;
+    private final List<Machine> open = new ArrayList<>();
     private final long keptMilliCpus;
     private long freeMilliCpus;
     private Room room;
 
-    private Placer(Cluster cluster, Policy policy, long nowMicros) {
+    /** A machine that could take the next task of a job, and at what cost. */
+    private record Candidate(Machine machine, double cost) implements Comparable<Candidate> {
+        @Override
+        public int compareTo(Candidate other) {
+            return Double.compare(cost, other.cost);
+        }
+    }
+
+    private Placer(Cluster cluster, Policy policy, Demand demand, long nowMicros) {
         this.cluster = cluster;
         this.policy = policy;
+        this.demand = demand;
         this.nowMicros = nowMicros;
         mostPerMachine = Math.max(1, (cluster.deployment.state().valueBytes() - 512) / ENTRY_BYTES);
+        mostPlacements = MOST_TRANSACTIONS * cluster.deployment.state().transactionWrites();
         room = new Room(cluster);
-        guaranteed = cluster.guaranteedJobs();
         long fastestBoot = cluster.types.values().stream().mapToLong(MachineType::bootMicros).min().orElse(0);
         boolean rentingTooSlow = cluster.deployment.shortestWaitMicros() < fastestBoot;
         long all = 0;
         for (Machine machine : cluster.machines.values()) {
             if (machine.usable(nowMicros, cluster.deployment.workers().reportMicros())) {
                 all += machine.type.capacity().milliCpus();
-                freeMilliCpus += machine.free().milliCpus();
+                long free = machine.type.capacity().milliCpus() - machine.used.milliCpus();
+                freeMilliCpus += free;
+                if (free > 0 && machine.recallMicros < 0 && machine.assignments.size() < mostPerMachine) {
+                    open.add(machine);
+                }
             }
         }
         keptMilliCpus = rentingTooSlow ? (long) (all * policy.headroom()) : 0;
     }
 
-    static List<Placement> plan(Cluster cluster, Policy policy, long nowMicros) {
-        Placer placer = new Placer(cluster, policy, nowMicros);
-        for (Job job : cluster.waitingJobs(placer.guaranteed)) {
-            if (placer.placements.size() >= MOST_PER_ROUND) {
+    static List<Placement> plan(Cluster cluster, Policy policy, Demand demand, long nowMicros) {
+        Placer placer = new Placer(cluster, policy, demand, nowMicros);
+        for (Job job : demand.waiting()) {
+            if (placer.open.isEmpty() || placer.placements.size() >= placer.mostPlacements) {
                 break;
             }
             if (job.spec.kind() == Kind.GANG) {
@@ -65,28 +86,32 @@
     }
 
     private void planTasks(Job job) {
+        PriorityQueue<Candidate> candidates = candidates(job);
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
-        for (int task = job.nextWaiting(0); task >= 0 && placements.size() < MOST_PER_ROUND;
+        for (int task = job.nextWaiting(0);
+                task >= 0 && !candidates.isEmpty() && placements.size() < mostPlacements;
                 task = job.nextWaiting(task + 1)) {
-            if (!job.ready(task, nowMicros) || cluster.strayed(job.spec.id(), task)) {
+            if (!startable(job, task)) {
                 continue;
             }
             if (!room.teamAllows(job) || eatsHeadroom(job)) {
                 return;
             }
-            boolean waited = nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
-            Machine machine = best(job, !ownedFits || waited);
-            if (machine != null) {
-                accept(job, task, machine, 0);
-            } else if (!ownedFits || waited) {
-                return;
-            }
+            place(job, task, candidates, !ownedFits || waited(job, task), 0);
         }
     }
 
+    private boolean startable(Job job, int task) {
+        return job.ready(task, nowMicros) && !cluster.strayed(job.spec.id(), task);
+    }
+
+    private boolean waited(Job job, int task) {
+        return nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
+    }
+
     /** Room for work that must start sooner than a machine boots; what is ordinary rents instead. */
     private boolean eatsHeadroom(Job job) {
-        return Priority.HIGH.above(job.spec.priority()) && !guaranteed.contains(job)
+        return Priority.HIGH.above(job.spec.priority()) && !demand.guaranteed().contains(job)
                 && freeMilliCpus - job.spec.perTask().milliCpus() < keptMilliCpus;
     }
 
@@ -97,66 +122,75 @@
             return;
         }
         Room before = room.copy();
+        long freeBefore = freeMilliCpus;
         int placed = placements.size();
+        PriorityQueue<Candidate> candidates = candidates(job);
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
         for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
-            boolean waited = nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
-            Machine machine = job.ready(task, nowMicros) && !cluster.strayed(job.spec.id(), task)
-                    && room.teamAllows(job) ? best(job, !ownedFits || waited) : null;
-            if (machine == null) {
+            if (!startable(job, task) || !room.teamAllows(job)
+                    || !place(job, task, candidates, !ownedFits || waited(job, task), job.gangAttempt)) {
                 room = before;
+                freeMilliCpus = freeBefore;
                 placements.subList(placed, placements.size()).clear();
                 return;
             }
-            accept(job, task, machine, job.gangAttempt);
         }
     }
 
-    private void accept(Job job, int task, Machine machine, long attempt) {
-        room.take(job, machine);
-        freeMilliCpus -= job.spec.perTask().milliCpus();
-        placements.add(new Placement(job, task, machine, attempt));
+    /** The machines that could take a task of the job now, owned ones first. */
+    private PriorityQueue<Candidate> candidates(Job job) {
+        PriorityQueue<Candidate> candidates = new PriorityQueue<>();
+        for (Machine machine : open) {
+            if (fits(job, machine) && cluster.allowed(job, machine) && (!job.erredOn(machine.id) || job.faulty())) {
+                candidates.add(new Candidate(machine, cost(job, machine)));
+            }
+        }
+        return candidates;
     }
 
-    private Machine best(Job job, boolean rentedToo) {
-        Machine best = null;
-        double bestCost = Double.MAX_VALUE;
-        for (Machine machine : cluster.machines.values()) {
-            if (!machine.owned && !rentedToo || !suits(job, machine)) {
+    private boolean fits(Job job, Machine machine) {
+        return job.spec.perTask().fits(room.free(machine))
+                && machine.assignments.size() + room.added(machine) < mostPerMachine;
+    }
+
+    /** False if no machine takes the task; a machine stays a candidate for as long as another task fits. */
+    private boolean place(Job job, int task, PriorityQueue<Candidate> candidates, boolean rentedToo, long attempt) {
+        while (!candidates.isEmpty()) {
+            Machine machine = candidates.peek().machine();
+            if (!machine.owned && !rentedToo) {
+                return false;
+            }
+            candidates.poll();
+            // Within a round the zones a job may use only become fewer.
+            if (!room.zoneAllows(job, machine.zone)) {
                 continue;
             }
-            double cost = cost(job, machine);
-            if (cost < bestCost) {
-                best = machine;
-                bestCost = cost;
+            room.take(job, machine);
+            freeMilliCpus -= job.spec.perTask().milliCpus();
+            placements.add(new Placement(job, task, machine, attempt));
+            if (fits(job, machine)) {
+                candidates.add(new Candidate(machine, cost(job, machine)));
             }
+            return true;
         }
-        return best;
-    }
-
-    private boolean suits(Job job, Machine machine) {
-        return machine.usable(nowMicros, cluster.deployment.workers().reportMicros())
-                && machine.recallMicros < 0
-                && job.spec.perTask().fits(room.free(machine))
-                && machine.assignments.size() + room.added(machine) < mostPerMachine
-                && cluster.allowed(job, machine) && room.zoneAllows(job, machine.zone)
-                && (!job.erredOn(machine.id) || job.faulty());
+        return false;
     }
 
     /** Seconds of fetching, and a little for what fits badly; owned room always goes first. */
     private double cost(Job job, Machine machine) {
         JobSpec spec = job.spec;
-        double cost = machine.owned ? 0 : 1000;
+        double cost = machine.owned ? 0 : RENTED_S;
         if (!machine.hasImage(spec.image())) {
             cost += spec.imageGb() / machine.type.fetchGbPerS();
         }
         long left = room.free(machine).milliCpus() - spec.perTask().milliCpus();
         cost += (double) left / Math.max(1, machine.type.capacity().milliCpus());
         if (spec.spotAllowed() && !machine.spot) {
-            cost += 2;
+            cost += STEADY_S;
         }
         if (spec.kind() == Kind.SERVICE) {
             // One machine's end should take few replicas with it: they are missing for a whole lease.
+            cost += room.added(job, machine) * SAME_JOB_S;
             for (Assignment assignment : machine.assignments.values()) {
                 if (assignment.job != null && assignment.job.spec.kind() == Kind.SERVICE) {
                     cost += assignment.job == job ? SAME_JOB_S : NEIGHBOUR_S;
--- a/src/main/java/madderrudder/coordination/Preemption.java
+++ b/src/main/java/madderrudder/coordination/Preemption.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.Priority;
@@ -22,72 +23,107 @@
     private final Map<Machine, Resources> coming = new HashMap<>();
     private final Map<String, Resources> usage;
     private final Set<Assignment> victims = new HashSet<>();
-    private final Set<Job> guaranteedJobs;
+    private final Demand demand;
+    private final List<Machine> usable = new ArrayList<>();
 
-    private Preemption(Cluster cluster, Policy policy, long nowMicros) {
+    /** What would have to be stopped on a machine for a task of the job, and what is lost by it. */
+    private record Option(Machine machine, List<Assignment> stops, double loss) implements Comparable<Option> {
+        @Override
+        public int compareTo(Option other) {
+            return Double.compare(loss, other.loss);
+        }
+    }
+
+    private Preemption(Cluster cluster, Policy policy, Demand demand, long nowMicros) {
         this.cluster = cluster;
         this.policy = policy;
         this.nowMicros = nowMicros;
+        this.demand = demand;
         usage = cluster.usage();
-        guaranteedJobs = cluster.guaranteedJobs();
+        for (Machine machine : cluster.machines.values()) {
+            if (machine.usable(nowMicros, cluster.deployment.workers().reportMicros()) && machine.recallMicros < 0) {
+                usable.add(machine);
+            }
+        }
     }
 
     /** To be called after placement: whatever still waits has found no free room. */
-    static Set<Assignment> plan(Cluster cluster, Policy policy, long nowMicros) {
-        Preemption preemption = new Preemption(cluster, policy, nowMicros);
+    static Set<Assignment> plan(Cluster cluster, Policy policy, Demand demand, long nowMicros) {
+        Preemption preemption = new Preemption(cluster, policy, demand, nowMicros);
         Room room = new Room(cluster);
-        for (Job job : cluster.waitingJobs(preemption.guaranteedJobs)) {
-            if (job.spec.kind() != Kind.GANG && !job.faulty()) {
+        for (Job job : demand.waiting()) {
+            boolean mayStopAnything = job.spec.priority() == Priority.PRODUCTION || demand.guaranteed().contains(job);
+            if (mayStopAnything && job.spec.kind() != Kind.GANG && !job.faulty() && job.nextWaiting(0) >= 0) {
                 preemption.makeRoom(job, room);
             }
         }
         return preemption.victims;
     }
 
+    /** Each machine is looked at once for the job, and again only after something was stopped on it. */
     private void makeRoom(Job job, Room room) {
-        boolean guaranteed = guaranteedJobs.contains(job);
-        if (!guaranteed && job.spec.priority() == Priority.LOW) {
-            return;
-        }
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
+        PriorityQueue<Option> owned = new PriorityQueue<>();
+        PriorityQueue<Option> rented = new PriorityQueue<>();
+        for (Machine machine : usable) {
+            if (cluster.allowed(job, machine) && job.spec.perTask().fits(machine.type.capacity())) {
+                offer(job, machine, machine.owned ? owned : rented);
+            }
+        }
         for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
+            if (owned.isEmpty() && rented.isEmpty() || !room.teamAllows(job)) {
+                return;
+            }
             if (!job.ready(task, nowMicros)) {
                 continue;
             }
-            if (!room.teamAllows(job)) {
-                return;
-            }
             // Room on a machine that the task may not use yet would go to another, and be made again and again.
             boolean rentedToo = !ownedFits || nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
-            Machine found = null;
-            List<Assignment> chosen = null;
-            for (Machine machine : cluster.machines.values()) {
-                if (!machine.usable(nowMicros, cluster.deployment.workers().reportMicros())
-                        || machine.recallMicros >= 0 || !machine.owned && !rentedToo || !cluster.allowed(job, machine)
-                        || !room.zoneAllows(job, machine.zone)
-                        || !job.spec.perTask().fits(machine.type.capacity())) {
-                    continue;
-                }
-                List<Assignment> stops = stopsFor(job, machine, guaranteed);
-                if (stops != null && (chosen == null || loss(stops) < loss(chosen))) {
-                    found = machine;
-                    chosen = stops;
-                }
-            }
-            if (found == null) {
-                return;
+            Option fromOwned = cheapest(job, owned, room);
+            Option fromRented = rentedToo ? cheapest(job, rented, room) : null;
+            boolean useOwned = fromOwned != null
+                    && (fromRented == null || fromOwned.loss() <= fromRented.loss());
+            Option chosen = useOwned ? fromOwned : fromRented;
+            if (chosen == null) {
+                continue;
             }
-            Resources freed = free(found);
-            for (Assignment victim : chosen) {
+            PriorityQueue<Option> queue = useOwned ? owned : rented;
+            queue.poll();
+            Resources freed = free(chosen.machine());
+            for (Assignment victim : chosen.stops()) {
                 victims.add(victim);
                 freed = freed.plus(victim.takes);
                 usage.merge(victim.team, victim.takes, Resources::minus);
             }
-            coming.put(found, freed.minus(job.spec.perTask()));
-            room.count(job, found.zone);
+            coming.put(chosen.machine(), freed.minus(job.spec.perTask()));
+            room.count(job, chosen.machine().zone);
+            offer(job, chosen.machine(), queue);
         }
     }
 
+    private void offer(Job job, Machine machine, PriorityQueue<Option> queue) {
+        List<Assignment> stops = stopsFor(job, machine);
+        if (stops != null) {
+            queue.add(new Option(machine, stops, loss(stops)));
+        }
+    }
+
+    /** The option that loses least and still holds; zones close, and teams come to be within their guarantee. */
+    private Option cheapest(Job job, PriorityQueue<Option> queue, Room room) {
+        while (!queue.isEmpty()) {
+            Option option = queue.peek();
+            if (!room.zoneAllows(job, option.machine().zone)) {
+                queue.poll();
+            } else if (!option.stops().stream().allMatch(stop -> mayStop(job, stop))) {
+                queue.poll();
+                offer(job, option.machine(), queue);
+            } else {
+                return option;
+            }
+        }
+        return null;
+    }
+
     /** Free room of the machine once everything that is being stopped has gone. */
     private Resources free(Machine machine) {
         return coming.computeIfAbsent(machine, m -> {
@@ -102,17 +138,17 @@
     }
 
     /** The cheapest stops that make the task fit; empty if it will fit anyway, null if none do. */
-    private List<Assignment> stopsFor(Job job, Machine machine, boolean guaranteed) {
+    private List<Assignment> stopsFor(Job job, Machine machine) {
         Resources free = free(machine);
-        List<Assignment> stops = new ArrayList<>();
         if (job.spec.perTask().fits(free)) {
-            return stops;
+            return List.of();
         }
+        List<Assignment> stops = new ArrayList<>();
         List<Assignment> candidates = new ArrayList<>();
         for (Assignment assignment : machine.assignments.values()) {
             if (!assignment.unwanted && !assignment.completed && assignment.durable && !victims.contains(assignment)
                     && assignment.job != null && assignment.job.spec.kind() != Kind.GANG
-                    && mayStop(job, assignment, guaranteed)) {
+                    && mayStop(job, assignment)) {
                 candidates.add(assignment);
             }
         }
@@ -127,13 +163,14 @@
         return null;
     }
 
-    private boolean mayStop(Job job, Assignment victim, boolean guaranteed) {
+    private boolean mayStop(Job job, Assignment victim) {
+        boolean guaranteed = demand.guaranteed().contains(job);
         if (job.spec.priority().above(victim.job.spec.priority())) {
             return job.spec.priority() == Priority.PRODUCTION || guaranteed;
         }
         Resources theirs = usage.getOrDefault(victim.team, Resources.NONE);
         return guaranteed && victim.job.spec.kind() != Kind.SERVICE && victim.job.team != job.team
-                && !guaranteedJobs.contains(victim.job) && !victim.job.team.guarantees(theirs);
+                && !demand.guaranteed().contains(victim.job) && !victim.job.team.guarantees(theirs);
     }
 
     private double loss(List<Assignment> stops) {
--- a/src/main/java/madderrudder/coordination/RentalPlanner.java
+++ b/src/main/java/madderrudder/coordination/RentalPlanner.java
@@ -17,8 +17,8 @@
  * the budget; one that none could take is rented for at once and not counted. A pure function.
  */
 final class RentalPlanner {
-    private static final int MOST_PER_ROUND = 20;
-    private static final int MOST_TASKS = 400;
+    /** The cloud lets this many machines of one kind be rented by one request. */
+    static final int MOST_PER_REQUEST = 50;
 
     private final Cluster cluster;
     private final Policy policy;
@@ -29,7 +29,6 @@
     private final Map<Rental.Shelf, Integer> perShelf = new HashMap<>();
     private final Map<RentalKey, Rental> rentals = new LinkedHashMap<>();
     private int budgetLeft;
-    private int rented;
 
     /** A machine that is on its way. */
     private static final class Coming {
@@ -73,52 +72,72 @@
         }
     }
 
-    static List<Rental> plan(Cluster cluster, Policy policy, long nowMicros, int budgetLeft,
+    static List<Rental> plan(Cluster cluster, Policy policy, Demand demand, long nowMicros, int budgetLeft,
             Predicate<Rental.Shelf> available, List<Rental> underWay) {
         RentalPlanner planner = new RentalPlanner(cluster, policy, nowMicros, budgetLeft, available, underWay);
-        int looked = 0;
-        for (Job job : cluster.waitingJobs(cluster.guaranteedJobs())) {
-            if (!job.faulty() && looked < MOST_TASKS) {
-                looked += planner.planJob(job, MOST_TASKS - looked);
+        for (Job job : demand.waiting()) {
+            if (!job.faulty() && job.nextWaiting(0) >= 0) {
+                planner.planJob(job);
             }
         }
         return List.copyOf(planner.rentals.values());
     }
 
-    private int planJob(Job job, int mostTasks) {
+    /**
+     * A machine that is too full for a task of the job, or in a zone that is closed to it, stays so for the
+     * rest of the job in this round: the machines on their way are gone through once for each job.
+     */
+    private void planJob(Job job) {
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
         int waiting = job.waitingCount();
-        int looked = 0;
-        for (int task = job.nextWaiting(0); task >= 0 && looked < mostTasks; task = job.nextWaiting(task + 1)) {
-            looked++;
+        int next = 0;
+        boolean more = true;
+        List<Coming> fitting = fitting(job);
+        for (int task = job.nextWaiting(0); task >= 0 && more; task = job.nextWaiting(task + 1)) {
             if (!room.teamAllows(job)) {
-                break;
+                return;
             }
             if (ownedFits && nowMicros - job.waitingSinceMicros(task) < policy.thresholdMicros()) {
                 continue;
             }
-            if (!takeComing(job) && !rent(job, ownedFits, waiting)) {
-                break;
+            while (next < fitting.size() && !takes(job, fitting.get(next))) {
+                next++;
+            }
+            if (next == fitting.size()) {
+                Coming rented = rent(job, ownedFits, waiting);
+                more = rented != null;
+                if (more) {
+                    coming.add(rented);
+                    fitting.add(rented);
+                    take(job, rented);
+                }
+            } else {
+                take(job, fitting.get(next));
             }
             waiting--;
         }
-        return looked;
     }
 
-    private boolean takeComing(Job job) {
-        Coming best = null;
-        for (Coming machine : coming) {
-            if (suits(job, machine.type, machine.zone, machine.spot) && job.spec.perTask().fits(machine.free)
-                    && (best == null || machine.spot && !best.spot)) {
-                best = machine;
+    /** What is on its way and could take a task of the job, cheap machines first. */
+    private List<Coming> fitting(Job job) {
+        List<Coming> fitting = new ArrayList<>();
+        for (boolean spot : new boolean[] {true, false}) {
+            for (Coming machine : coming) {
+                if (machine.spot == spot && takes(job, machine)) {
+                    fitting.add(machine);
+                }
             }
         }
-        if (best == null) {
-            return false;
-        }
-        best.free = best.free.minus(job.spec.perTask());
-        room.count(job, best.zone);
-        return true;
+        return fitting;
+    }
+
+    private boolean takes(Job job, Coming machine) {
+        return job.spec.perTask().fits(machine.free) && suits(job, machine.type, machine.zone, machine.spot);
+    }
+
+    private void take(Job job, Coming machine) {
+        machine.free = machine.free.minus(job.spec.perTask());
+        room.count(job, machine.zone);
     }
 
     private boolean suits(Job job, MachineType type, String zone, boolean spot) {
@@ -127,9 +146,10 @@
                 && room.zoneAllows(job, zone);
     }
 
-    private boolean rent(Job job, boolean counted, int waiting) {
-        if (rented >= MOST_PER_ROUND || counted && budgetLeft < 1) {
-            return false;
+    /** Rents one more machine for the job; null if none is to be had for it. */
+    private Coming rent(Job job, boolean counted, int waiting) {
+        if (counted && budgetLeft < 1) {
+            return null;
         }
         boolean spotToo = policy.spotMode() == Policy.SpotMode.ALWAYS
                 || policy.spotMode() == Policy.SpotMode.UNCOUNTED && !counted;
@@ -143,7 +163,8 @@
             for (String zone : type.zones()) {
                 for (boolean spot : spotToo ? new boolean[] {true, false} : new boolean[] {false}) {
                     Rental rental = new Rental(type, zone, spot, 1, counted);
-                    if (!suits(job, type, zone, spot) || !available.test(rental.shelf())) {
+                    if (!suits(job, type, zone, spot) || !available.test(rental.shelf())
+                            || asked(rental) >= MOST_PER_REQUEST) {
                         continue;
                     }
                     // A big machine is cheap per task only if there are tasks to fill it.
@@ -158,20 +179,20 @@
             }
         }
         if (best == null) {
-            return false;
+            return null;
         }
-        Coming machine = new Coming(best.type(), best.zone(), best.spot());
-        machine.free = machine.free.minus(job.spec.perTask());
-        coming.add(machine);
-        room.count(job, best.zone());
         perShelf.merge(best.shelf(), 1, Integer::sum);
-        rented++;
         if (counted) {
             budgetLeft--;
         }
         rentals.merge(new RentalKey(best.shelf(), counted), best,
                 (a, b) -> new Rental(a.type(), a.zone(), a.spot(), a.count() + 1, a.counted()));
-        return true;
+        return new Coming(best.type(), best.zone(), best.spot());
+    }
+
+    private int asked(Rental rental) {
+        Rental so = rentals.get(new RentalKey(rental.shelf(), rental.counted()));
+        return so == null ? 0 : so.count();
     }
 
     private static int fit(Resources need, Resources capacity) {
--- a/src/main/java/madderrudder/coordination/Rentals.java
+++ b/src/main/java/madderrudder/coordination/Rentals.java
@@ -76,9 +76,8 @@
         return budget.left(term.scheduler.wallMicros());
     }
 
-    /** Rents what the plan asks for, and gives back what nobody needs. */
-    void reconcile(long nowMicros) {
-        returnIdle(nowMicros);
+    /** Rents what the plan asks for. */
+    void reconcile(Demand demand, long nowMicros) {
         if (!listed || term.cluster.types.isEmpty()) {
             return;
         }
@@ -92,7 +91,7 @@
                 underWay.add(rental(record));
             }
         }
-        List<Rental> wanted = RentalPlanner.plan(term.cluster, term.policy, nowMicros, poll ? budgetLeft() : 0,
+        List<Rental> wanted = RentalPlanner.plan(term.cluster, term.policy, demand, nowMicros, poll ? budgetLeft() : 0,
                 shelf -> emptyUntil.getOrDefault(shelf, Long.MIN_VALUE) <= nowMicros && !asked(shelf), underWay);
         for (Rental rental : wanted) {
             begin(rental);
@@ -176,7 +175,8 @@
         term.journal.add(new SettledChange(record.request()));
     }
 
-    private void returnIdle(long nowMicros) {
+    /** Gives back what nobody needs, and what does not work. */
+    void returnIdle(long nowMicros) {
         int up = 0;
         int silent = 0;
         for (Machine machine : term.cluster.machines.values()) {
--- a/src/main/java/madderrudder/coordination/Room.java
+++ b/src/main/java/madderrudder/coordination/Room.java
@@ -7,11 +7,14 @@
 /** What a round of planning has used up so far, on top of the picture it must not change. */
 final class Room {
     private final Cluster cluster;
-    private final Map<Machine, Resources> free = new HashMap<>();
+    private final Map<Machine, Taken> taken = new HashMap<>();
     private final Map<Job, Map<String, Integer>> zones = new HashMap<>();
-    private final Map<Machine, Integer> added = new HashMap<>();
     private final Map<String, Resources> usage;
 
+    /** What is left of a machine, the tasks it was given in this round, and how many of them are of the last job. */
+    private record Taken(Resources free, int added, Job last, int addedOfLast) {
+    }
+
     Room(Cluster cluster) {
         this.cluster = cluster;
         usage = cluster.usage();
@@ -19,9 +22,8 @@
 
     private Room(Room other) {
         cluster = other.cluster;
-        free.putAll(other.free);
+        taken.putAll(other.taken);
         other.zones.forEach((job, counts) -> zones.put(job, new HashMap<>(counts)));
-        added.putAll(other.added);
         usage = new HashMap<>(other.usage);
     }
 
@@ -30,11 +32,19 @@
     }
 
     Resources free(Machine machine) {
-        return free.computeIfAbsent(machine, Machine::free);
+        Taken so = taken.get(machine);
+        return so == null ? machine.free() : so.free();
     }
 
     int added(Machine machine) {
-        return added.getOrDefault(machine, 0);
+        Taken so = taken.get(machine);
+        return so == null ? 0 : so.added();
+    }
+
+    /** How many tasks of the job, which is the one being planned, the machine was given. */
+    int added(Job job, Machine machine) {
+        Taken so = taken.get(machine);
+        return so == null || so.last() != job ? 0 : so.addedOfLast();
     }
 
     Resources usage(String team) {
@@ -58,8 +68,8 @@
     }
 
     void take(Job job, Machine machine) {
-        free.put(machine, free(machine).minus(job.spec.perTask()));
-        added.merge(machine, 1, Integer::sum);
+        taken.put(machine, new Taken(free(machine).minus(job.spec.perTask()), added(machine) + 1, job,
+                added(job, machine) + 1));
         count(job, machine.zone);
     }
 
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -1,9 +1,7 @@
 package madderrudder.coordination;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.MalformedMessage;
 import madderrudder.protocol.Order;
@@ -75,7 +73,7 @@
         machine.token = report.token();
         machine.addr = report.addr().isEmpty() ? machine.addr : report.addr();
         machine.recallMicros = report.noticeMicros() < 0 ? -1 : now + report.noticeMicros();
-        boolean room = apply(machine, report.tasks(), now);
+        boolean room = apply(machine, report, now);
         room |= vanish(machine, report);
         if (room || first) {
             onRoom.run();
@@ -91,29 +89,36 @@
     }
 
     /** Follows the states of the tasks that the worker has; true if room came free. */
-    private boolean apply(Machine machine, List<TaskReport> tasks, long now) {
+    private boolean apply(Machine machine, WorkerReport report, long now) {
         boolean room = !machine.strays.isEmpty();
-        machine.strays.clear();
-        for (TaskReport task : tasks) {
+        List<Machine.Stray> strays = List.of();
+        for (TaskReport task : report.tasks()) {
             Machine.Key key = new Machine.Key(task.task(), task.attempt());
             Assignment assignment = machine.assignments.get(key);
+            if (assignment != null) {
+                assignment.reportedSeq = report.seq();
+            }
             if (assignment == null) {
-                stray(machine, key, task);
+                if (task.phase() != Phase.EXITED) {
+                    strays = strays.isEmpty() ? new ArrayList<>() : strays;
+                    strays.add(stray(key));
+                }
             } else if (task.phase() == Phase.EXITED) {
                 room |= exited(assignment, task, now);
             } else {
                 progressed(assignment, task.phase(), now);
             }
         }
+        if (room || !strays.isEmpty()) {
+            term.cluster.strays(machine, strays);
+        }
         return room;
     }
 
-    private void stray(Machine machine, Machine.Key key, TaskReport task) {
+    private Machine.Stray stray(Machine.Key key) {
         Job job = term.cluster.jobs.get(key.task().job());
-        if (task.phase() != Phase.EXITED) {
-            machine.strays.add(new Machine.Stray(key, job == null ? "" : job.spec.team(),
-                    job == null ? Resources.NONE : job.spec.perTask()));
-        }
+        return new Machine.Stray(key, job == null ? "" : job.spec.team(),
+                job == null ? Resources.NONE : job.spec.perTask());
     }
 
     private static void progressed(Assignment assignment, Phase phase, long now) {
@@ -145,7 +150,7 @@
             return true;
         }
         if (assignment.directOpen) {
-            machine.unforgettable.add(new Machine.Key(assignment.task, assignment.attempt));
+            machine.unforgettable.add(assignment.key());
         }
         fleet.release(assignment);
         if (job != null && !job.over) {
@@ -165,10 +170,9 @@
 
     /** Drops records of tasks that the worker neither has nor can still be told to start. */
     private boolean vanish(Machine machine, WorkerReport report) {
-        Map<Machine.Key, TaskReport> has = index(report.tasks());
-        boolean room = false;
-        for (Assignment assignment : List.copyOf(machine.assignments.values())) {
-            if (has.containsKey(new Machine.Key(assignment.task, assignment.attempt)) || assignment.completed) {
+        List<Assignment> gone = new ArrayList<>();
+        for (Assignment assignment : machine.assignments.values()) {
+            if (assignment.reportedSeq == report.seq() || assignment.completed) {
                 continue;
             }
             // A worker that has seen this term's token takes no command of an earlier leader any more. Answers
@@ -176,25 +180,24 @@
             boolean cannotCome = assignment.inherited ? report.token() >= term.number
                     : !assignment.directOpen && report.seq() > assignment.startSeq;
             if (cannotCome && (assignment.unwanted || assignment.seen())) {
-                fleet.release(assignment);
-                room = true;
+                gone.add(assignment);
             }
         }
-        return room;
-    }
-
-    private static Map<Machine.Key, TaskReport> index(List<TaskReport> tasks) {
-        Map<Machine.Key, TaskReport> index = new HashMap<>();
-        for (TaskReport task : tasks) {
-            index.put(new Machine.Key(task.task(), task.attempt()), task);
-        }
-        return index;
+        gone.forEach(fleet::release);
+        return !gone.isEmpty();
     }
 
     /** Whether the machine waits for a record to become durable that an answer could then carry. */
     boolean unsettled(String id) {
         Machine machine = term.cluster.machines.get(id);
-        return machine != null && machine.assignments.values().stream().anyMatch(a -> !a.durable || a.completed);
+        if (machine != null) {
+            for (Assignment assignment : machine.assignments.values()) {
+                if (!assignment.durable || assignment.completed) {
+                    return true;
+                }
+            }
+        }
+        return false;
     }
 
     /** The commands for the report's answer. To be called when the answer is sent. */
@@ -209,7 +212,6 @@
             return List.of();
         }
         List<Order> orders = new ArrayList<>();
-        Map<Machine.Key, TaskReport> has = index(report.tasks());
         for (TaskReport task : report.tasks()) {
             Machine.Key key = new Machine.Key(task.task(), task.attempt());
             Assignment assignment = machine.assignments.get(key);
@@ -224,7 +226,7 @@
             }
         }
         for (Assignment assignment : machine.assignments.values()) {
-            if (startable(assignment) && !has.containsKey(new Machine.Key(assignment.task, assignment.attempt))) {
+            if (startable(assignment) && assignment.reportedSeq != report.seq()) {
                 orders.add(Order.start(assignment.task, assignment.attempt));
                 assignment.startSent = true;
                 assignment.startSeq = report.seq();
@@ -255,8 +257,8 @@
                 || !machine.usable(now, term.deployment.workers().reportMicros()) || term.closed()) {
             return;
         }
-        List<Order> orders = new ArrayList<>();
-        List<Assignment> starts = new ArrayList<>();
+        List<Order> orders = new ArrayList<>(2);
+        List<Assignment> starts = new ArrayList<>(2);
         for (Assignment assignment : machine.assignments.values()) {
             if (startable(assignment) && !assignment.startSent && !assignment.inherited) {
                 orders.add(Order.start(assignment.task, assignment.attempt));
@@ -315,7 +317,7 @@
         }
         machine.seq = report.seq();
         starts.forEach(start -> start.startSeq = Math.max(start.startSeq, report.seq()));
-        if (apply(machine, report.tasks(), term.scheduler.nowMicros())) {
+        if (apply(machine, report, term.scheduler.nowMicros())) {
             onRoom.run();
         }
     }
@@ -327,7 +329,7 @@
                 boolean broken = job.assignments.stream().anyMatch(a -> a.unwanted)
                         || job.gangRan && job.nextWaiting(0) >= 0;
                 if (broken) {
-                    job.assignments.forEach(a -> a.unwanted = true);
+                    job.assignments.forEach(fleet::unwant);
                 }
             }
         }
--- a/src/main/java/madderrudder/transport/HttpClient.java
+++ b/src/main/java/madderrudder/transport/HttpClient.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.nio.channels.AsynchronousChannelGroup;
 
@@ -19,6 +21,7 @@
     private final AsynchronousChannelGroup group;
     private final int maxConnections;
     private final Map<String, Deque<HttpClientConnection>> idle = new HashMap<>();
+    private final Set<HttpClientConnection> idleOldestFirst = new LinkedHashSet<>();
     private int open;
 
     public HttpClient(Scheduler scheduler, AsynchronousChannelGroup group, int maxConnections) {
@@ -32,7 +35,7 @@
     public void call(String address, HttpRequest request, long timeoutMicros, Consumer<HttpResponse> answer) {
         HttpClientConnection connection = takeIdle(address);
         if (connection == null) {
-            if (open >= maxConnections) {
+            if (open >= maxConnections && !evictIdle()) {
                 scheduler.execute(() -> answer.accept(HttpResponse.notSent()));
                 return;
             }
@@ -46,10 +49,21 @@
         connection.send(request, timeoutMicros, answer);
     }
 
+    /** At the limit the connection that has been idle longest makes room: there are more workers than sockets. */
+    private boolean evictIdle() {
+        HttpClientConnection oldest = idleOldestFirst.isEmpty() ? null : idleOldestFirst.iterator().next();
+        if (oldest == null) {
+            return false;
+        }
+        oldest.close();
+        return true;
+    }
+
     private HttpClientConnection takeIdle(String address) {
         Deque<HttpClientConnection> kept = idle.get(address);
         while (kept != null && !kept.isEmpty()) {
             HttpClientConnection connection = kept.pollLast();
+            idleOldestFirst.remove(connection);
             if (scheduler.nowMicros() - connection.idleSinceMicros() < REUSE_MICROS && connection.usable()) {
                 return connection;
             }
@@ -62,6 +76,7 @@
     private void done(HttpClientConnection connection) {
         if (!connection.usable()) {
             open--;
+            idleOldestFirst.remove(connection);
             Deque<HttpClientConnection> kept = idle.get(connection.address());
             if (kept != null) {
                 kept.remove(connection);
@@ -73,15 +88,17 @@
             connection.close();
         } else {
             kept.addLast(connection);
+            idleOldestFirst.add(connection);
         }
     }
 
     private void sweep() {
-        for (Deque<HttpClientConnection> kept : idle.values()) {
-            while (!kept.isEmpty()
-                    && scheduler.nowMicros() - kept.peekFirst().idleSinceMicros() >= REUSE_MICROS) {
-                kept.pollFirst().close();
+        while (!idleOldestFirst.isEmpty()) {
+            HttpClientConnection oldest = idleOldestFirst.iterator().next();
+            if (scheduler.nowMicros() - oldest.idleSinceMicros() < REUSE_MICROS) {
+                break;
             }
+            oldest.close();
         }
         idle.values().removeIf(Deque::isEmpty);
     }
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -43,7 +43,7 @@
     private Machine machine(String id, String zone, boolean owned) {
         Machine machine = new Machine(id, TYPE, zone, false, owned, 0, 0);
         machine.reported = true;
-        cluster.machines.put(id, machine);
+        cluster.add(machine);
         return machine;
     }
 
@@ -60,13 +60,12 @@
                 job.spec.perTask(), job, false, 0);
         assignment.durable = true;
         assignment.phase = Phase.RUNNING;
-        machine.assignments.put(new Machine.Key(assignment.task, assignment.attempt), assignment);
-        job.hold(assignment);
+        cluster.hold(assignment);
         return assignment;
     }
 
     private List<Rental> rentals(long now, int budget) {
-        return RentalPlanner.plan(cluster, POLICY, now, budget, shelf -> true, List.of());
+        return RentalPlanner.plan(cluster, POLICY, Demand.of(cluster), now, budget, shelf -> true, List.of());
     }
 
     @Test
@@ -74,11 +73,11 @@
         Machine owned = machine("m-0", "east", true);
         Machine rented = machine("m-1", "east", false);
         job("req-1", "alto", Kind.ARRAY, Priority.NORMAL, 2, 4, false);
-        List<Placement> early = Placer.plan(cluster, POLICY, SECOND);
+        List<Placement> early = Placer.plan(cluster, POLICY, Demand.of(cluster), SECOND);
         assertEquals(List.of(owned), early.stream().map(Placement::machine).toList());
         rented.answeredMicros = 21 * SECOND;
         owned.answeredMicros = 21 * SECOND;
-        List<Placement> late = Placer.plan(cluster, POLICY, 21 * SECOND);
+        List<Placement> late = Placer.plan(cluster, POLICY, Demand.of(cluster), 21 * SECOND);
         assertEquals(Set.of(owned, rented), Set.copyOf(late.stream().map(Placement::machine).toList()));
     }
 
@@ -118,14 +117,14 @@
         machine("m-2", "east", true);
         Job service = job("req-1", "alto", Kind.SERVICE, Priority.PRODUCTION, 3, 1, true);
         put(service, 0, east);
-        assertEquals(1, Placer.plan(cluster, POLICY, SECOND).size());
+        assertEquals(1, Placer.plan(cluster, POLICY, Demand.of(cluster), SECOND).size());
         cluster.jobs.clear();
         put(job("req-2", "basso", Kind.ARRAY, Priority.NORMAL, 1, 3, false), 0, east);
         job("req-3", "basso", Kind.ARRAY, Priority.NORMAL, 9, 4, false);
         machine("m-3", "east", true);
         machine("m-4", "west", true);
         // 3 of 16 processors are in use; three tasks of 4 still fit under the limit, a fourth does not.
-        assertEquals(3, Placer.plan(cluster, POLICY, SECOND).size());
+        assertEquals(3, Placer.plan(cluster, POLICY, Demand.of(cluster), SECOND).size());
     }
 
     @Test
@@ -140,7 +139,7 @@
         first.answeredMicros = 30 * SECOND;
         second.answeredMicros = 30 * SECOND;
         job("req-2", "basso", Kind.SERVICE, Priority.PRODUCTION, 1, 1, false);
-        assertEquals(Set.of(young), Preemption.plan(cluster, POLICY, 30 * SECOND));
+        assertEquals(Set.of(young), Preemption.plan(cluster, POLICY, Demand.of(cluster), 30 * SECOND));
     }
 
     /** Room made by stopping must not go back to what was stopped: that once spun thousands of starts. */
@@ -152,10 +151,10 @@
         put(borrower, 1, machine("m-1", "east", true));
         put(borrower, 2, machine("m-2", "east", true));
         Job guaranteed = job("req-2", "basso", Kind.ARRAY, Priority.NORMAL, 1, 4, false);
-        Set<Assignment> victims = Preemption.plan(cluster, POLICY, SECOND);
+        Set<Assignment> victims = Preemption.plan(cluster, POLICY, Demand.of(cluster), SECOND);
         assertEquals(1, victims.size());
         assertEquals(borrower, victims.iterator().next().job);
-        assertEquals(guaranteed, cluster.waitingJobs(cluster.guaranteedJobs()).get(0));
+        assertEquals(guaranteed, Demand.of(cluster).waiting().get(0));
         assertEquals("req-1", stopped.task.job());
     }
 
@@ -166,14 +165,14 @@
         Cluster hasty = cluster(SECOND);
         hasty.types = cluster.types;
         for (String id : List.of("m-0", "m-1")) {
-            hasty.machines.put(id, machine(id, "east", true));
+            hasty.add(machine(id, "east", true));
         }
         Job ordinary = job("req-1", "alto", Kind.ARRAY, Priority.NORMAL, 12, 2, false);
         hasty.jobs.put("req-1", ordinary);
-        assertEquals(2, Placer.plan(hasty, POLICY, SECOND).size());
-        assertEquals(4, Placer.plan(cluster, POLICY, SECOND).size());
+        assertEquals(2, Placer.plan(hasty, POLICY, Demand.of(hasty), SECOND).size());
+        assertEquals(4, Placer.plan(cluster, POLICY, Demand.of(cluster), SECOND).size());
         hasty.jobs.put("req-2", job("req-2", "basso", Kind.ARRAY, Priority.HIGH, 4, 2, false));
-        assertEquals(4, Placer.plan(hasty, POLICY, SECOND).size());
+        assertEquals(4, Placer.plan(hasty, POLICY, Demand.of(hasty), SECOND).size());
     }
 
     /** Most replicas once sat on the largest machine, and were missing for a lease when it died. */
@@ -184,7 +183,7 @@
         put(job("req-1", "alto", Kind.SERVICE, Priority.PRODUCTION, 1, 1, false), 0, crowded);
         put(job("req-2", "alto", Kind.ARRAY, Priority.NORMAL, 1, 1, false), 0, other);
         job("req-3", "basso", Kind.SERVICE, Priority.PRODUCTION, 1, 1, false);
-        assertEquals(List.of(other), Placer.plan(cluster, POLICY, SECOND).stream().map(Placement::machine).toList());
+        assertEquals(List.of(other), Placer.plan(cluster, POLICY, Demand.of(cluster), SECOND).stream().map(Placement::machine).toList());
     }
 
     /** A held task may not use rented room yet: stopping work there for it once went on without end. */
@@ -194,18 +193,18 @@
         Machine rented = machine("m-1", "east", false);
         put(job("req-2", "alto", Kind.ARRAY, Priority.LOW, 3, 4, false), 0, rented);
         job("req-3", "alto", Kind.SERVICE, Priority.PRODUCTION, 1, 4, false);
-        assertEquals(Set.of(), Preemption.plan(cluster, POLICY, SECOND));
+        assertEquals(Set.of(), Preemption.plan(cluster, POLICY, Demand.of(cluster), SECOND));
         cluster.machines.values().forEach(machine -> machine.answeredMicros = 21 * SECOND);
-        assertEquals(1, Preemption.plan(cluster, POLICY, 21 * SECOND).size());
+        assertEquals(1, Preemption.plan(cluster, POLICY, Demand.of(cluster), 21 * SECOND).size());
     }
 
     @Test
     void aGangIsPlacedWholeOrNotAtAll() {
         machine("m-0", "east", true);
         job("req-1", "alto", Kind.GANG, Priority.NORMAL, 2, 3, false);
-        assertEquals(List.of(), Placer.plan(cluster, POLICY, SECOND));
+        assertEquals(List.of(), Placer.plan(cluster, POLICY, Demand.of(cluster), SECOND));
         machine("m-1", "west", true);
-        assertEquals(2, Placer.plan(cluster, POLICY, SECOND).size());
+        assertEquals(2, Placer.plan(cluster, POLICY, Demand.of(cluster), SECOND).size());
     }
 
     @Test
--- a/src/test/java/madderrudder/sim/LoopbackWorld.java
+++ b/src/test/java/madderrudder/sim/LoopbackWorld.java
@@ -25,7 +25,8 @@
                 World.usualWorkers(), new Deployment.StateLimits(200, 80, 16 * 1024, 48),
                 new Deployment.CloudLimits(2, 4_000_000), 1, 0, Long.MAX_VALUE);
         SimNet net = new SimNet(sim, 0);
-        cloud = new SimCloud(sim, net, new Rules(sim, deployment), deployment, Map.of("n-0", "10.0.0.1:8080"));
+        cloud = new SimCloud(sim, net, new Rules(sim, deployment), deployment, Map.of("n-0", "10.0.0.1:8080"),
+                World.Size.SMALL.roomPerShelf());
         cloud.begin(0);
         store.tick();
         long beginMicros = real.nowMicros();
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -46,6 +46,24 @@
         assertEquals(List.of(), open, "jobs that never ended");
     }
 
+    /** Hundreds of machines and arrays of hundreds of tasks: the same rules, and the day ends in time. */
+    @Test
+    void rulesHoldInALargeDeployment() {
+        Policy policy = new Policy(1_000_000, 1_000_000, 600, 300_000_000, 20_000_000, Policy.SpotMode.ALWAYS, 3_000_000,
+                0.1);
+        World world = new World(3, World.usualWorkers(), World.usualWorkers(), policy, World.Size.LARGE);
+        world.users.begin(2_000_000, 80 * World.SECOND);
+        for (int at = 25; at < 80; at += 8) {
+            world.sim.after(at * World.SECOND, world::trouble);
+        }
+        world.run(70 * World.SECOND);
+        int machines = world.cloud.workers().size();
+        assertTrue(machines > 200, "only " + machines + " machines");
+        world.run(120 * World.SECOND);
+        assertEquals(List.of(), world.rules.broken);
+        assertTrue(world.rules.starts > 2_000, "only " + world.rules.starts + " starts");
+    }
+
     private static void troubles(World world) {
         for (long at = 10 * World.SECOND; at < TROUBLES_END;
                 at += World.SECOND * (5 + world.sim.random.nextLong(20))) {
--- a/src/test/java/madderrudder/sim/SimCloud.java
+++ b/src/test/java/madderrudder/sim/SimCloud.java
@@ -19,13 +19,14 @@
 final class SimCloud implements HttpExchange {
     private static final Map<String, Resources> TYPES = Map.of("small", Resources.of(4, 0, 16), "big",
             Resources.of(16, 0, 64));
-    private static final int ROOM = 4;
 
     private final Sim sim;
     private final SimNet net;
     private final Rules rules;
     private final Deployment deployment;
     private final Map<String, String> nodes;
+    /** Machines to be had of each type, zone and kind. */
+    private final int room;
     private final TreeMap<String, Machine> machines = new TreeMap<>();
     private final Map<String, List<String>> answered = new HashMap<>();
     private final List<Snapshot> snapshots = new ArrayList<>();
@@ -51,7 +52,8 @@
     private record Snapshot(long atMicros, byte[] body) {
     }
 
-    SimCloud(Sim sim, SimNet net, Rules rules, Deployment deployment, Map<String, String> nodes) {
+    SimCloud(Sim sim, SimNet net, Rules rules, Deployment deployment, Map<String, String> nodes, int room) {
+        this.room = room;
         this.sim = sim;
         this.net = net;
         this.rules = rules;
@@ -168,7 +170,7 @@
                 }
             }).count();
             rented = new ArrayList<>();
-            for (long i = there; i < ROOM && rented.size() < in.count("how_many"); i++) {
+            for (long i = there; i < room && rented.size() < in.count("how_many"); i++) {
                 Machine machine = add(in.text("build"), in.text("berth"), in.flag("driftwood"));
                 rented.add(machine.id);
                 if (!sim.chance(0.05)) {
--- a/src/test/java/madderrudder/sim/SimUsers.java
+++ b/src/test/java/madderrudder/sim/SimUsers.java
@@ -27,11 +27,14 @@
     private final HttpCalls calls;
     private final Sim.Host clock;
     private final List<String> nodes;
+    private final int mostTasks;
     final List<String> submitted = new ArrayList<>();
     private boolean cancelAll;
     private int count;
 
-    SimUsers(Sim sim, SimNet net, Rules rules, Deployment deployment, Map<String, String> nodes) {
+    SimUsers(Sim sim, SimNet net, Rules rules, Deployment deployment, Map<String, String> nodes,
+            int mostTasks) {
+        this.mostTasks = mostTasks;
         this.sim = sim;
         this.rules = rules;
         this.deployment = deployment;
@@ -74,7 +77,7 @@
                 : Priority.values()[1 + sim.random.nextInt(3)];
         double cpus = 1 + sim.random.nextInt(4);
         return new JobSpec(String.format("req-%06d", count++), "class", teams.get(sim.random.nextInt(teams.size())),
-                kind, priority, 1 + sim.random.nextInt(kind == Kind.SERVICE ? 4 : 8),
+                kind, priority, 1 + sim.random.nextInt(kind == Kind.SERVICE ? 4 : mostTasks),
                 Resources.of(cpus, 0, cpus * 2), "img-" + sim.random.nextInt(4), 1.0, null,
                 sim.chance(0.1) ? deployment.zones().get(0) : null, false, kind == Kind.SERVICE,
                 kind == Kind.ARRAY && sim.chance(0.6), 8_000_000, 0, 0, 0);
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -33,11 +33,23 @@
 
     /** The workers keep the one set of times, and the controllers believe in the other. */
     World(long seed, Deployment.WorkerTimes workers, Deployment.WorkerTimes believed, Policy policy) {
+        this(seed, workers, believed, policy, Size.SMALL);
+    }
+
+    /** How much there is of everything; what users ask for grows alike. */
+    record Size(int owned, int roomPerShelf, double guaranteedCpus, double limitCpus, int mostTasks) {
+        static final Size SMALL = new Size(4, 4, 8, 20, 8);
+        /** Up to 400 machines, and arrays of hundreds of tasks. */
+        static final Size LARGE = new Size(48, 44, 400, 900, 300);
+    }
+
+    World(long seed, Deployment.WorkerTimes workers, Deployment.WorkerTimes believed, Policy policy, Size size) {
         this.policy = policy;
         sim = new Sim(seed);
         Map<String, Team> teams = new LinkedHashMap<>();
         for (String name : List.of("alto", "basso", "canto")) {
-            teams.put(name, new Team(name, Resources.of(8, 0, 0), Resources.of(20, 0, 0)));
+            teams.put(name, new Team(name, Resources.of(size.guaranteedCpus(), 0, 0),
+                    Resources.of(size.limitCpus(), 0, 0)));
         }
         deployment = new Deployment(List.of("east", "west"), teams, workers,
                 new Deployment.StateLimits(200, 80, 16 * 1024, 24), new Deployment.CloudLimits(4, 2 * SECOND), 3,
@@ -50,11 +62,11 @@
         for (int i = 0; i < 3; i++) {
             addresses.put("node-" + i, "10.0.0." + (i + 1) + ":8080");
         }
-        cloud = new SimCloud(sim, net, rules, deployment, addresses);
-        users = new SimUsers(sim, net, rules, deployment, addresses);
+        cloud = new SimCloud(sim, net, rules, deployment, addresses, size.roomPerShelf());
+        users = new SimUsers(sim, net, rules, deployment, addresses, size.mostTasks());
         net.serve("10.2.0.2:1", "cloud", cloud);
         store.tick();
-        cloud.begin(4);
+        cloud.begin(size.owned());
         names().forEach(this::start);
     }
 
