Budget 1000 in 300 s: one operator file fills a fleet of 350 rented machines

Demand is for some 350 rented machines at once, and the count has to leave room for those that are taken back.

--- a/src/main/java/madderrudder/service/OperatorSettings.java
+++ b/src/main/java/madderrudder/service/OperatorSettings.java
@@ -42,7 +42,7 @@
                     p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
             case "poll-s" -> new Policy(p.thresholdMicros(), micros(value, 0.1, 3_600), p.budget(),
                     p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
-            case "budget" -> new Policy(p.thresholdMicros(), p.pollMicros(), (int) number(value, 0, 200),
+            case "budget" -> new Policy(p.thresholdMicros(), p.pollMicros(), (int) number(value, 0, 1_000_000),
                     p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
             case "budget-window-s" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(),
                     micros(value, 1, 604_800), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
