Starts are written first, progress later; image before spread; threshold 0.25 s

Changes have three lanes now: starts and rentals, then what a user waits for, then progress and ended records from what the rate leaves over. The leader has 0.75 of the write rate. Replicas prefer a machine with their image to an empty one.

--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -1,8 +1,8 @@
 ; The operators' own settings; what is left out has its default. The values were chosen by measurement:
 ; see docs/measurements.md.
 (madderrudder
-  (threshold-s 1)         ; a task that finds owned room full is held for this long
-  (poll-s 1)              ; held tasks are looked at again this often
+  (threshold-s 0.25)      ; a task that finds owned room full is held for this long
+  (poll-s 0.5)            ; held tasks are looked at again this often
   (budget 1000)           ; counted rentals ...
   (budget-window-s 300)   ; ... within this time
   (idle-s 20)             ; an idle rented machine goes back after this long
--- a/src/main/java/madderrudder/bookkeeping/Journal.java
+++ b/src/main/java/madderrudder/bookkeeping/Journal.java
@@ -1,6 +1,7 @@
 package madderrudder.bookkeeping;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,9 +27,12 @@
     private static final Logger LOG = LoggerFactory.getLogger(Journal.class);
     private static final long RETRY_MICROS = 150_000;
     private static final long LATER_MICROS = 1_000_000;
-    /** One write in this many may rewrite the term key. */
+    /** One write in this many may rewrite the term key, and fewer while the rate is nearly used up. */
     private static final double HELM_SHARE = 3;
+    private static final int SCARCE_FACTOR = 3;
     private static final int MOST_BYTES = 48 * 1024;
+    private static final int HEAD_BYTES = 512;
+    private static final int LATER_PART = 8;
 
     private final Scheduler scheduler;
     private final StoreClient store;
@@ -36,10 +40,10 @@
     private final long term;
     private final int mostWrites;
     private final long spacingMicros;
+    private final double scarce;
     private final Pace pace;
     private final Runnable onLost;
-    private final Map<String, Change> waiting = new LinkedHashMap<>();
-    private final Map<String, Change> later = new LinkedHashMap<>();
+    private final Map<Lane, Map<String, Change>> lanes = new EnumMap<>(Lane.class);
     private long helmVersion;
     private long serial;
     private long nextMicros;
@@ -48,6 +52,15 @@
     private boolean lateScheduled;
     private boolean closed;
 
+    /** In which order changes are written when there are more than the store takes at once. */
+    public enum Lane {
+        /** Somebody waits for it: a start, a rental. */
+        FIRST,
+        SOON,
+        /** Nothing but a take-over depends on it: written when there is little else, or a little late. */
+        LATER
+    }
+
     /** What one transaction carries. */
     private record Batch(List<Change> changes, List<Condition> conditions, byte[] body, int writes, long serial) {
     }
@@ -61,8 +74,12 @@
         this.helmVersion = helmVersion;
         this.mostWrites = mostWrites;
         spacingMicros = (long) (HELM_SHARE * 1e6 / writesPerSecond);
+        scarce = writesPerSecond / 2;
         pace = new Pace(scheduler, writesPerSecond, writesPerSecond);
         this.onLost = onLost;
+        for (Lane lane : Lane.values()) {
+            lanes.put(lane, new LinkedHashMap<>());
+        }
     }
 
     public static byte[] helm(long term, String member, long serial) {
@@ -80,23 +97,23 @@
     /** Nothing is sent any more; an answer that still comes is ignored. */
     public void close() {
         closed = true;
-        waiting.clear();
-        later.clear();
-    }
-
-    /** Writes the change soon, together with others named in the same turn. */
-    public void add(Change change) {
-        later.remove(change.name());
-        waiting.putIfAbsent(change.name(), change);
-        flushSoon();
+        lanes.values().forEach(Map::clear);
     }
 
-    /**
-     * Writes the change with the next ones that leave room for it, or a little later. If it is named by
-     * {@link #add} before, it goes with those.
-     */
-    public void addLater(Change change) {
-        if (!waiting.containsKey(change.name()) && later.putIfAbsent(change.name(), change) == null && !lateScheduled) {
+    /** Writes the change together with others named in the same turn. Named in two lanes, the earlier one counts. */
+    public void add(Change change, Lane lane) {
+        for (Lane other : Lane.values()) {
+            if (other.compareTo(lane) < 0 && lanes.get(other).containsKey(change.name())) {
+                return;
+            }
+            if (other.compareTo(lane) > 0) {
+                lanes.get(other).remove(change.name());
+            }
+        }
+        lanes.get(lane).putIfAbsent(change.name(), change);
+        if (lane != Lane.LATER) {
+            flushSoon();
+        } else if (!lateScheduled) {
             lateScheduled = true;
             scheduler.after(LATER_MICROS, () -> {
                 lateScheduled = false;
@@ -105,9 +122,14 @@
         }
     }
 
+    private boolean nothingDue() {
+        return lanes.get(Lane.FIRST).isEmpty() && lanes.get(Lane.SOON).isEmpty()
+                && (lateScheduled || lanes.get(Lane.LATER).isEmpty());
+    }
+
     /** Transactions keep a distance, so that rewriting the term key takes only a part of the write rate. */
     private void flushSoon() {
-        if (scheduled || inFlight || closed || waiting.isEmpty() && (later.isEmpty() || lateScheduled)) {
+        if (scheduled || inFlight || closed || nothingDue()) {
             return;
         }
         scheduled = true;
@@ -118,17 +140,17 @@
     }
 
     public int backlog() {
-        return waiting.size();
+        return lanes.values().stream().mapToInt(Map::size).sum();
     }
 
     private void flush() {
-        if (closed || inFlight || waiting.isEmpty() && later.isEmpty()) {
+        if (closed || inFlight || nothingDue()) {
             return;
         }
         Batch batch = build();
         if (batch != null) {
             inFlight = true;
-            nextMicros = scheduler.nowMicros() + spacingMicros;
+            nextMicros = scheduler.nowMicros() + (pace.left() < scarce ? SCARCE_FACTOR * spacingMicros : spacingMicros);
             pace.run(batch.writes(), () -> {
                 if (!closed) {
                     send(batch, false);
@@ -144,12 +166,11 @@
         conditions.add(new Condition(Keys.HELM, helmVersion));
         serial++;
         writes.add(Write.put(Keys.HELM, helm(term, member, serial)));
-        int bytes = 512;
-        // What can wait only takes what the rate leaves over.
-        int spare = (int) Math.min(mostWrites, pace.left());
-        Filling filling = new Filling(changes, conditions, writes, 512);
-        if (filling.from(waiting, mostWrites)) {
-            filling.from(later, spare);
+        Filling filling = new Filling(changes, conditions, writes);
+        if (filling.from(lanes.get(Lane.FIRST), mostWrites) && filling.from(lanes.get(Lane.SOON), mostWrites)) {
+            // What can wait takes what the rate leaves over, and a little always, so that it is written some time.
+            int spare = (int) Math.max(writes.size() + mostWrites / LATER_PART, pace.left());
+            filling.from(lanes.get(Lane.LATER), Math.min(mostWrites, spare));
         }
         return new Batch(changes, conditions, StoreCodec.commit(conditions, writes), writes.size(), serial);
     }
@@ -159,13 +180,12 @@
         private final List<Change> changes;
         private final List<Condition> conditions;
         private final List<Write> writes;
-        private int bytes;
+        private int bytes = HEAD_BYTES;
 
-        Filling(List<Change> changes, List<Condition> conditions, List<Write> writes, int bytes) {
+        Filling(List<Change> changes, List<Condition> conditions, List<Write> writes) {
             this.changes = changes;
             this.conditions = conditions;
             this.writes = writes;
-            this.bytes = bytes;
         }
 
         /** Takes changes while they fit; false if some were left. Even a large one goes alone. */
@@ -265,7 +285,7 @@
             if (change.conditions().stream().anyMatch(c -> failed.contains(c.key()))) {
                 change.rejected();
             } else {
-                waiting.putIfAbsent(change.name(), change);
+                add(change, Lane.FIRST);
             }
         }
         flushSoon();
--- a/src/main/java/madderrudder/bookkeeping/Pace.java
+++ b/src/main/java/madderrudder/bookkeeping/Pace.java
@@ -17,6 +17,7 @@
     private final double burst;
     private final Deque<Waiting> queue = new ArrayDeque<>();
     private double tokens;
+    private double queuedCost;
     private long filledMicros;
     private boolean pumping;
 
@@ -37,10 +38,17 @@
             return false;
         }
         queue.addLast(new Waiting(Math.min(cost, burst), go));
+        queuedCost += Math.min(cost, burst);
         pump();
         return true;
     }
 
+    /** Runs the call if its turn comes in time; false, at once, if it would not. */
+    public boolean runWithin(double cost, long mostWaitMicros, Runnable go) {
+        fill();
+        return queuedCost + cost - tokens <= mostWaitMicros * perMicro && run(cost, go);
+    }
+
     /** What may be spent at this moment. */
     public double left() {
         fill();
@@ -56,6 +64,7 @@
         while (!queue.isEmpty() && tokens >= queue.peekFirst().cost()) {
             Waiting next = queue.pollFirst();
             tokens -= next.cost();
+            queuedCost -= next.cost();
             next.go().run();
         }
         pumping = false;
--- a/src/main/java/madderrudder/bookkeeping/StoreClient.java
+++ b/src/main/java/madderrudder/bookkeeping/StoreClient.java
@@ -24,6 +24,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
     private static final long CALL_MICROS = 1_500_000;
     private static final int PAGE = 500;
+    private static final int BURST_SECONDS = 3;
+    /** Users are not held for longer than this: who would wait more is told at once to come back. */
+    private static final long MOST_TURN_MICROS = 1_000_000;
 
     private final Scheduler scheduler;
     private final HttpCalls calls;
@@ -43,7 +46,8 @@
         this.calls = calls;
         this.address = address;
         requests = new Pace(scheduler, requestsPerSecond, requestsPerSecond);
-        writes = new Pace(scheduler, writesPerSecond, writesPerSecond);
+        // Users come in bursts, which the store's own burst bears.
+        writes = new Pace(scheduler, writesPerSecond, BURST_SECONDS * writesPerSecond);
     }
 
     /** When the store last did what this node asked. */
@@ -67,10 +71,10 @@
                 waitMicros + CALL_MICROS, StoreCodec::readEvents, answer);
     }
 
-    /** A user's transaction: waits its turn, and is refused when too many wait. */
+    /** A user's transaction: waits its turn, and is refused at once if that is too far off. */
     public void commit(List<Condition> conditions, List<Write> changes, Consumer<StoreReply<Long>> answer) {
         HttpRequest request = HttpRequest.post("/commit", StoreCodec.commit(conditions, changes));
-        boolean queued = writes.run(changes.size(),
+        boolean queued = writes.runWithin(changes.size(), MOST_TURN_MICROS,
                 () -> ordinary(request, StoreCodec::readRevision, answer));
         if (!queued) {
             answer.accept(StoreReply.of(Outcome.REFUSED));
@@ -96,7 +100,7 @@
     }
 
     private <T> void ordinary(HttpRequest request, Reader<T> reader, Consumer<StoreReply<T>> answer) {
-        if (!requests.run(1, () -> call(request, CALL_MICROS, reader, answer))) {
+        if (!requests.runWithin(1, MOST_TURN_MICROS, () -> call(request, CALL_MICROS, reader, answer))) {
             answer.accept(StoreReply.of(Outcome.REFUSED));
         }
     }
--- a/src/main/java/madderrudder/coordination/Assignment.java
+++ b/src/main/java/madderrudder/coordination/Assignment.java
@@ -32,6 +32,11 @@
     long stopSentMicros = -1;
     Phase phase;
     long placedMicros;
+    /** How long the task had waited when it was placed, and whether the machine had its image. */
+    long waitedMicros;
+    boolean hadImage;
+    long durableMicros;
+    long toldMicros;
     long runningMicros = -1;
 
     Assignment(TaskId task, long attempt, Machine machine, String team, Resources takes, Job job, boolean inherited,
--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import madderrudder.bookkeeping.Change;
+import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
 import madderrudder.bookkeeping.MachineRecord;
 import madderrudder.protocol.MachineType;
@@ -52,8 +53,10 @@
     Assignment assign(Machine machine, Job job, int task, long attempt) {
         Assignment assignment = new Assignment(new TaskId(job.spec.id(), task), attempt, machine,
                 job.spec.team(), job.spec.perTask(), job, false, term.scheduler.nowMicros());
+        assignment.waitedMicros = assignment.placedMicros - job.waitingSinceMicros(task);
+        assignment.hadImage = machine.hasImage(job.spec.image());
         term.cluster.hold(assignment);
-        save(machine);
+        term.journal.add(new MachineChange(machine), Lane.FIRST);
         return assignment;
     }
 
@@ -99,7 +102,7 @@
         if (machine.empty()) {
             machine.idleSinceMicros = now;
         }
-        term.journal.addLater(new MachineChange(machine));
+        term.journal.add(new MachineChange(machine), Lane.LATER);
     }
 
     void releaseAll(Machine machine) {
@@ -146,7 +149,7 @@
     }
 
     void save(Machine machine) {
-        term.journal.add(new MachineChange(machine));
+        term.journal.add(new MachineChange(machine), Lane.SOON);
     }
 
     /** Writes what is wished of one machine at the moment of writing. */
@@ -177,7 +180,10 @@
         @Override
         public void committed() {
             for (Assignment assignment : written) {
-                assignment.durable = true;
+                if (!assignment.durable) {
+                    assignment.durable = true;
+                    assignment.durableMicros = term.scheduler.nowMicros();
+                }
             }
             machine.retiringDurable |= retiring;
             onDurable.accept(machine);
--- a/src/main/java/madderrudder/coordination/JobBook.java
+++ b/src/main/java/madderrudder/coordination/JobBook.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import madderrudder.bookkeeping.Change;
 import madderrudder.bookkeeping.JobRecords;
+import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
 import madderrudder.bookkeeping.StoreReply.Outcome;
 import madderrudder.protocol.JobSpec;
@@ -58,14 +59,14 @@
         int slash = rest.lastIndexOf('/');
         Job job = slash < 0 ? null : term.cluster.jobs.get(rest.substring(0, slash));
         if (job == null) {
-            term.journal.add(new DropChange(item.key()));
+            term.journal.add(new DropChange(item.key()), Lane.LATER);
             return;
         }
         try {
             JobRecords.readProgress(item.value(), Integer.parseInt(rest.substring(slash + 1)), job.done);
             job.done.clear(job.spec.tasks(), Math.max(job.spec.tasks(), job.done.length()));
             if (job.complete()) {
-                term.journal.add(new JobChange(job));
+                save(job);
             }
         } catch (MalformedMessage | NumberFormatException e) {
             LOG.error("{} is unreadable: {}", item.key(), e.getMessage());
@@ -129,7 +130,7 @@
         end(job);
         for (int chunk = 0; chunk <= job.spec.tasks() / JobRecords.CHUNK; chunk++) {
             if (!job.done.isEmpty()) {
-                term.journal.add(new DropChange(Keys.progress(id, chunk)));
+                term.journal.add(new DropChange(Keys.progress(id, chunk)), Lane.LATER);
             }
         }
     }
@@ -160,7 +161,12 @@
             job.done.set(assignment.task.index());
         }
         job.unwritten.set(assignment.task.index() / JobRecords.CHUNK);
-        term.journal.add(new JobChange(job));
+        save(job);
+    }
+
+    /** A job's user waits for its end; until then its workers keep what they have completed. */
+    private void save(Job job) {
+        term.journal.add(new JobChange(job), job.complete() ? Lane.SOON : Lane.LATER);
     }
 
     /** Writes a job's progress, or moves it to the finished ones once all of it is done. */
@@ -216,7 +222,7 @@
                 end(job);
             }
             if (!job.unwritten.isEmpty()) {
-                term.journal.add(new JobChange(job));
+                save(job);
             }
             Set<Machine> settled = new LinkedHashSet<>();
             for (Assignment assignment : written) {
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import madderrudder.bookkeeping.Change;
+import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
 import madderrudder.bookkeeping.MachineRecord;
 import madderrudder.bookkeeping.StoreClient;
@@ -27,6 +28,7 @@
 public final class Leader {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final long TICK_MICROS = 250_000;
+    private static final long SUMMARY_MICROS = 30_000_000;
     private static final long SOON_MICROS = 5_000;
     private static final int PAUSE_PER_PLAN = 4;
     /** An answer waits this long for records that become durable meanwhile. */
@@ -99,6 +101,7 @@
         LOG.info("term {}: took over {} jobs and {} machines", term.number, term.cluster.jobs.size(),
                 term.cluster.machines.size());
         term.every(TICK_MICROS, this::tick);
+        term.every(SUMMARY_MICROS, this::summarise);
     }
 
     /**
@@ -285,10 +288,16 @@
         fleet.assign(placement.machine(), job, placement.task(), attempt);
     }
 
+    private void summarise() {
+        LOG.info("machines and processors in use: {}; {} tasks wait, {} changes unwritten, budget left {}",
+                Summary.of(term.cluster), term.cluster.jobs.values().stream().mapToInt(Job::waitingCount).sum(),
+                term.journal.backlog(), rentals.budgetLeft());
+    }
+
     private void saveCatalog() {
         byte[] text = around.catalog().text();
         if (!term.closed() && text != null && text.length < term.deployment.state().valueBytes()) {
-            term.journal.add(new CatalogChange(text));
+            term.journal.add(new CatalogChange(text), Lane.LATER);
         }
     }
 
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -16,9 +16,12 @@
  * alike, so the best machine for the next one is found in a queue.
  */
 final class Placer {
-    /** What another replica on the machine weighs, in seconds of fetching: of the same job, of any. */
-    private static final double SAME_JOB_S = 1.3;
-    private static final double NEIGHBOUR_S = 0.3;
+    /**
+     * What another replica on the machine weighs, in seconds of fetching: of the same job, of any. It decides
+     * between machines that have the image; a fetch costs every replica its time, an end only a few and seldom.
+     */
+    private static final double SAME_JOB_S = 0.1;
+    private static final double NEIGHBOUR_S = 0.01;
     private static final double RENTED_S = 1000;
     private static final double STEADY_S = 2;
     /** Keeps the record of a machine within one stored value. */
--- a/src/main/java/madderrudder/coordination/Rentals.java
+++ b/src/main/java/madderrudder/coordination/Rentals.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import madderrudder.bookkeeping.Budget;
 import madderrudder.bookkeeping.Change;
+import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
 import madderrudder.bookkeeping.RentalRecord;
 import madderrudder.protocol.CloudCodec;
@@ -119,7 +120,7 @@
         open.put(request, record);
         LOG.info("renting {} {} in {}{}{} as {}", rental.count(), rental.type().name(), rental.zone(),
                 rental.spot() ? " spot" : "", rental.counted() ? ", counted" : "", request);
-        term.journal.add(new IntentChange(record));
+        term.journal.add(new IntentChange(record), Lane.FIRST);
     }
 
     private void call(RentalRecord record) {
@@ -172,7 +173,7 @@
                 fleet.save(machine);
             }
         }
-        term.journal.add(new SettledChange(record.request()));
+        term.journal.add(new SettledChange(record.request()), Lane.SOON);
     }
 
     /** Gives back what nobody needs, and what does not work. */
--- a/src/main/java/madderrudder/coordination/Term.java
+++ b/src/main/java/madderrudder/coordination/Term.java
@@ -9,7 +9,7 @@
 final class Term {
     private static final int COUNTER_BITS = 24;
     /** Of the store's write rate; the nodes share the rest for what users submit. */
-    private static final double LEADER_SHARE = 0.6;
+    private static final double LEADER_SHARE = 0.75;
 
     final Scheduler scheduler;
     final StoreClient store;
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -127,6 +127,7 @@
         }
         if (phase == Phase.RUNNING && assignment.runningMicros < 0) {
             assignment.runningMicros = now;
+            logStart(assignment, now);
             if (assignment.job != null) {
                 assignment.job.gangRan = true;
             }
@@ -134,6 +135,18 @@
         assignment.phase = phase;
     }
 
+    private static void logStart(Assignment assignment, long now) {
+        if (LOG.isDebugEnabled() && !assignment.inherited) {
+            LOG.debug("{} of {} runs on {} ({} {}): waited {} ms, recorded {} ms, told {} ms, fetched {} ms{}",
+                    assignment.task, assignment.job == null ? "?" : assignment.job.spec.jobClass(),
+                    assignment.machine.id, assignment.machine.type.name(),
+                    assignment.machine.spot ? "spot" : assignment.machine.owned ? "owned" : "steady",
+                    assignment.waitedMicros / 1000, (assignment.durableMicros - assignment.placedMicros) / 1000,
+                    (assignment.toldMicros - assignment.durableMicros) / 1000, (now - assignment.toldMicros) / 1000,
+                    assignment.hadImage ? "" : ", no image");
+        }
+    }
+
     private boolean exited(Assignment assignment, TaskReport task, long now) {
         if (assignment.completed) {
             return false;
@@ -192,7 +205,7 @@
         Machine machine = term.cluster.machines.get(id);
         if (machine != null) {
             for (Assignment assignment : machine.assignments.values()) {
-                if (!assignment.durable || assignment.completed) {
+                if (!assignment.durable && !assignment.unwanted) {
                     return true;
                 }
             }
@@ -228,6 +241,9 @@
         for (Assignment assignment : machine.assignments.values()) {
             if (startable(assignment) && assignment.reportedSeq != report.seq()) {
                 orders.add(Order.start(assignment.task, assignment.attempt));
+                if (!assignment.startSent) {
+                    assignment.toldMicros = now;
+                }
                 assignment.startSent = true;
                 assignment.startSeq = report.seq();
             }
@@ -275,6 +291,7 @@
         }
         for (Assignment start : starts) {
             start.startSent = true;
+            start.toldMicros = now;
             start.directOpen = true;
         }
         machine.directInFlight = true;
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -46,7 +46,7 @@
     private static final int PULSES_PER_PROGRESS = 2;
     /** Of the store's rates, for what users ask of all nodes together. */
     private static final double REQUESTS_SHARE = 0.75;
-    private static final double WRITES_SHARE = 0.4;
+    private static final double WRITES_SHARE = 0.25;
     private static final String JOBS = "/v1/jobs";
     private static final String WITHDRAW = "/withdraw";
 
