What can still be in time comes first; steady machines only after some patience

Cause: cheap machines run out in peaks, and each waiting task had a steady one rented at a multiple of the price although it had minutes to spare. Ruled out: idle machines (10 % of processors at the most while work waits).

--- a/src/main/java/madderrudder/coordination/Cluster.java
+++ b/src/main/java/madderrudder/coordination/Cluster.java
@@ -13,6 +13,9 @@
 
 /** The leader's picture: live jobs, machines, and what may be where. */
 public final class Cluster {
+    private static final double MOST_RATIO = 4;
+    private static final double LEARNING = 0.02;
+
     final Deployment deployment;
     final Map<String, Job> jobs = new LinkedHashMap<>();
     final Map<String, Machine> machines = new LinkedHashMap<>();
@@ -20,6 +23,7 @@
     // Kept up to date with every change: made anew, they would cost more with each task and machine there is.
     private final Set<Machine> owned = new LinkedHashSet<>();
     private final Map<String, Resources> usage = new HashMap<>();
+    private final Map<String, Double> ratios = new HashMap<>();
     private final Map<TaskId, Integer> strayed = new HashMap<>();
 
     Cluster(Deployment deployment) {
@@ -106,6 +110,18 @@
         return !strayed.isEmpty() && strayed.containsKey(new TaskId(job, task));
     }
 
+    /** Owners' estimates are often wrong, on some days mostly one way: what tasks of the class took corrects them. */
+    void ran(JobSpec job, long tookMicros) {
+        if (job.estimateMicros() > 0) {
+            double ratio = Math.min(MOST_RATIO, Math.max(1 / MOST_RATIO, (double) tookMicros / job.estimateMicros()));
+            ratios.merge(job.jobClass(), ratio, (old, now) -> old + LEARNING * (now - old));
+        }
+    }
+
+    long expectedRunMicros(JobSpec job) {
+        return (long) (job.estimateMicros() * ratios.getOrDefault(job.jobClass(), 1.0));
+    }
+
     /** Some owned machine that is there could take a task of the job, if it were empty. */
     boolean ownedCouldFit(Job job, long nowMicros) {
         for (Machine machine : owned) {
--- a/src/main/java/madderrudder/coordination/Demand.java
+++ b/src/main/java/madderrudder/coordination/Demand.java
@@ -14,9 +14,9 @@
 record Demand(Set<Job> guaranteed, List<Job> waiting) {
     private static final long NO_DEADLINE_MICROS = 120_000_000;
 
-    static Demand of(Cluster cluster) {
+    static Demand of(Cluster cluster, long wallMicros) {
         Set<Job> guaranteed = guaranteed(cluster);
-        return new Demand(guaranteed, waiting(cluster, guaranteed));
+        return new Demand(guaranteed, waiting(cluster, guaranteed, wallMicros));
     }
 
     /** Each fits into its team's guarantee together with the team's earlier unfinished jobs. */
@@ -37,24 +37,48 @@
     /**
      * Production, then what lies within a guarantee, then by priority. What may be stopped for a job always
      * comes after it here, so room made by stopping never goes back to what was stopped.
+     *
+     * <p>Among equals the one due first, as long as it can still be in time: with too much to do, working on
+     * what is late already would make everything late in turn.
      */
-    private static List<Job> waiting(Cluster cluster, Set<Job> guaranteed) {
+    private static List<Job> waiting(Cluster cluster, Set<Job> guaranteed, long wallMicros) {
+        Map<Job, Due> dues = new HashMap<>();
         List<Job> waiting = new ArrayList<>();
         for (Job job : cluster.jobs.values()) {
             if (!job.over && job.nextWaiting(0) >= 0) {
                 waiting.add(job);
+                dues.put(job, due(cluster, job, wallMicros));
             }
         }
         waiting.sort(Comparator.<Job>comparingInt(job -> job.spec.priority() == Priority.PRODUCTION ? 0
                         : guaranteed.contains(job) ? 1 : 2)
                 .thenComparingInt(job -> job.spec.priority().ordinal())
                 .thenComparing(job -> !guaranteed.contains(job))
-                .thenComparingLong(Demand::urgency));
+                .thenComparing(dues::get));
         return waiting;
     }
 
-    private static long urgency(Job job) {
-        return job.acceptedWallMicros
-                + (job.spec.deadlineMicros() > 0 ? job.spec.deadlineMicros() : NO_DEADLINE_MICROS);
+    /** The soonest time due that can still be met, and how many are missed already. */
+    private record Due(int missed, long atWallMicros) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byMissed = Integer.compare(missed, other.missed);
+            return byMissed != 0 ? byMissed : Long.compare(atWallMicros, other.atWallMicros);
+        }
+    }
+
+    private static Due due(Cluster cluster, Job job, long wallMicros) {
+        List<Long> dues = cluster.deployment.objectives().dueMicros(job.spec);
+        if (dues.isEmpty()) {
+            return new Due(0, job.acceptedWallMicros + NO_DEADLINE_MICROS);
+        }
+        long doneAt = wallMicros + cluster.expectedRunMicros(job.spec);
+        for (int missed = 0; missed < dues.size(); missed++) {
+            long at = job.acceptedWallMicros + dues.get(missed);
+            if (doneAt <= at) {
+                return new Due(missed, at);
+            }
+        }
+        return new Due(dues.size(), job.acceptedWallMicros);
     }
 }
--- a/src/main/java/madderrudder/coordination/Deployment.java
+++ b/src/main/java/madderrudder/coordination/Deployment.java
@@ -3,12 +3,9 @@
 import java.util.List;
 import java.util.Map;
 
-/**
- * What the platform says of the place this service runs in. {@code shortestWaitMicros} is the shortest wait that
- * is wanted of any class of jobs, and very long where none is.
- */
+/** What the platform says of the place this service runs in. */
 public record Deployment(List<String> zones, Map<String, Team> teams, WorkerTimes workers, StateLimits state,
-        CloudLimits cloud, int members, long clockOffMicros, long shortestWaitMicros) {
+        CloudLimits cloud, int members, long clockOffMicros, Objectives objectives) {
 
     /** How workers keep time. */
     public record WorkerTimes(long reportMicros, long leaseMicros, long gangWaitMicros, long gangPeerMicros,
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -259,7 +259,7 @@
         }
         long now = term.scheduler.nowMicros();
         desk.sweepGangs();
-        Demand demand = Demand.of(term.cluster);
+        Demand demand = Demand.of(term.cluster, term.scheduler.wallMicros());
         if (!demand.waiting().isEmpty()) {
             for (Placement placement : Placer.plan(term.cluster, term.policy, demand, now)) {
                 place(placement);
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -58,7 +58,7 @@
         mostPlacements = MOST_TRANSACTIONS * cluster.deployment.state().transactionWrites();
         room = new Room(cluster);
         long fastestBoot = cluster.types.values().stream().mapToLong(MachineType::bootMicros).min().orElse(0);
-        boolean rentingTooSlow = cluster.deployment.shortestWaitMicros() < fastestBoot;
+        boolean rentingTooSlow = cluster.deployment.objectives().shortestWaitMicros() < fastestBoot;
         long all = 0;
         for (Machine machine : cluster.machines.values()) {
             if (machine.usable(nowMicros, cluster.deployment.workers().reportMicros())) {
--- a/src/main/java/madderrudder/coordination/RentalPlanner.java
+++ b/src/main/java/madderrudder/coordination/RentalPlanner.java
@@ -104,7 +104,7 @@
                 next++;
             }
             if (next == fitting.size()) {
-                Coming rented = rent(job, ownedFits, waiting);
+                Coming rented = rent(job, ownedFits, waiting, steadyToo(job, task));
                 more = rented != null;
                 if (more) {
                     coming.add(rented);
@@ -118,6 +118,19 @@
         }
     }
 
+    /**
+     * A steady machine costs a multiple of a cheap one. Work that may use either, and need not start at once,
+     * spends some of the time it has to spare on waiting for cheap or owned room.
+     */
+    private boolean steadyToo(Job job, int task) {
+        if (!job.spec.spotAllowed() || cluster.deployment.objectives().wantsPromptStart(job.spec)) {
+            return true;
+        }
+        List<Long> dues = cluster.deployment.objectives().dueMicros(job.spec);
+        long spare = dues.isEmpty() ? 0 : dues.get(0) - cluster.expectedRunMicros(job.spec);
+        return nowMicros - job.waitingSinceMicros(task) >= policy.patience() * spare;
+    }
+
     /** What is on its way and could take a task of the job, cheap machines first. */
     private List<Coming> fitting(Job job) {
         List<Coming> fitting = new ArrayList<>();
@@ -147,7 +160,7 @@
     }
 
     /** Rents one more machine for the job; null if none is to be had for it. */
-    private Coming rent(Job job, boolean counted, int waiting) {
+    private Coming rent(Job job, boolean counted, int waiting, boolean steadyToo) {
         if (counted && budgetLeft < 1) {
             return null;
         }
@@ -161,7 +174,10 @@
                 continue;
             }
             for (String zone : type.zones()) {
-                for (boolean spot : spotToo ? new boolean[] {true, false} : new boolean[] {false}) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    if (spot ? !spotToo : spotToo && !steadyToo) {
+                        continue;
+                    }
                     Rental rental = new Rental(type, zone, spot, 1, counted);
                     if (!suits(job, type, zone, spot) || !available.test(rental.shelf())
                             || asked(rental) >= MOST_PER_REQUEST) {
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -158,6 +158,9 @@
         if (task.why() == Why.DONE) {
             if (job != null) {
                 machine.usedImage(job.spec.image(), job.spec.imageGb());
+                if (assignment.runningMicros >= 0 && !assignment.inherited) {
+                    term.cluster.ran(job.spec, now - assignment.runningMicros);
+                }
             }
             jobs.completed(assignment);
             return true;
--- a/src/main/java/madderrudder/service/OperatorSettings.java
+++ b/src/main/java/madderrudder/service/OperatorSettings.java
@@ -39,21 +39,23 @@
     private static Policy apply(Policy p, Atom name, Atom value) throws Malformed {
         return switch (name.text()) {
             case "threshold-s" -> new Policy(micros(value, 0, 86_400), p.pollMicros(), p.budget(),
-                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
+                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
             case "poll-s" -> new Policy(p.thresholdMicros(), micros(value, 0.1, 3_600), p.budget(),
-                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
+                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
             case "budget" -> new Policy(p.thresholdMicros(), p.pollMicros(), (int) number(value, 0, 1_000_000),
-                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
+                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
             case "budget-window-s" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(),
-                    micros(value, 1, 604_800), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom());
+                    micros(value, 1, 604_800), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
             case "idle-s" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    micros(value, 1, 86_400), p.spotMode(), p.holdMicros(), p.headroom());
+                    micros(value, 1, 86_400), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
             case "spot" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    p.idleMicros(), spotMode(value), p.holdMicros(), p.headroom());
+                    p.idleMicros(), spotMode(value), p.holdMicros(), p.headroom(), p.patience());
             case "hold-s" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    p.idleMicros(), p.spotMode(), micros(value, 1, 60), p.headroom());
+                    p.idleMicros(), p.spotMode(), micros(value, 1, 60), p.headroom(), p.patience());
             case "headroom" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    p.idleMicros(), p.spotMode(), p.holdMicros(), number(value, 0, 0.9));
+                    p.idleMicros(), p.spotMode(), p.holdMicros(), number(value, 0, 0.9), p.patience());
+            case "patience" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
+                    p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), number(value, 0, 1));
             default -> throw new Malformed(name.line(), name.column(), "unknown setting " + name.text());
         };
     }
--- a/src/main/java/madderrudder/service/Settings.java
+++ b/src/main/java/madderrudder/service/Settings.java
@@ -1,10 +1,12 @@
 package madderrudder.service;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import madderrudder.coordination.Deployment;
+import madderrudder.coordination.Objectives;
 import madderrudder.coordination.Safety;
 import madderrudder.coordination.Team;
 import madderrudder.protocol.Fields;
@@ -18,7 +20,6 @@
         String cloudAddress, String stateAddress, Deployment deployment, int maxSockets) {
     /** Less than this leaves no time to hear from the store twice before workers must be let go. */
     private static final long LEAST_ANSWER_MICROS = 4_000_000;
-    private static final long NO_WAIT_MICROS = Long.MAX_VALUE;
     private static final int LEAST_WRITES = 8;
     private static final int LEAST_VALUE_KB = 4;
 
@@ -154,18 +155,27 @@
                 new Deployment.CloudLimits(check.positive(path + "cloud.", cloud, "rps"),
                         check.read(path + "cloud.list_lag_s", 1L, () -> cloud.secondsAsMicros("list_lag_s"))),
                 members, Math.round(check.read(path + "clock_off_ms", 0.0, () -> in.amount("clock_off_ms", 0)) * 1e3),
-                check.read(path + "objectives", NO_WAIT_MICROS, () -> shortestWait(in)));
+                check.read(path + "objectives", Objectives.none(), () -> objectives(in)));
     }
 
-    private static long shortestWait(Fields deployment) throws MalformedMessage {
-        long shortest = NO_WAIT_MICROS;
+    /** Kinds that say nothing of when a job should start or be complete are left to others. */
+    private static Objectives objectives(Fields deployment) throws MalformedMessage {
+        Map<String, Long> waits = new HashMap<>();
+        Map<String, List<Long>> finishes = new HashMap<>();
+        Map<String, List<Double>> deadlines = new HashMap<>();
         if (deployment.has("objectives")) {
             for (Fields objective : deployment.objects("objectives")) {
-                if (objective.text("kind", "").equals("wait")) {
-                    shortest = Math.min(shortest, objective.secondsAsMicros("within_s", NO_WAIT_MICROS));
+                String jobClass = objective.text("class", "");
+                switch (objective.text("kind", "")) {
+                    case "wait" -> waits.merge(jobClass, objective.secondsAsMicros("within_s"), Math::min);
+                    case "finished" -> finishes.computeIfAbsent(jobClass, c -> new ArrayList<>())
+                            .add(objective.secondsAsMicros("within_s"));
+                    case "deadline" -> deadlines.computeIfAbsent(jobClass, c -> new ArrayList<>())
+                            .add(objective.amount("times", 1));
+                    default -> { }
                 }
             }
         }
-        return shortest;
+        return new Objectives(waits, finishes, deadlines);
     }
 }
