--- a/src/main/java/madderrudder/coordination/Cluster.java
+++ b/src/main/java/madderrudder/coordination/Cluster.java
@@ -12,7 +12,7 @@
 import madderrudder.protocol.TaskId;
 
 /** The leader's picture: live jobs, machines, and what may be where. */
-public final class Cluster {
+public class Cluster {
     private static final double MOST_RATIO = 4;
     private static final double LEARNING = 0.02;
 
@@ -136,6 +136,12 @@
         return (long) (job.estimateMicros() * ratios.getOrDefault(job.jobClass(), 1.0));
     }
 
+    /** A start is wanted sooner than any machine boots, so that renting comes too late for it. */
+    boolean rentingTooSlow() {
+        long fastestBoot = types.values().stream().mapToLong(MachineType::bootMicros).min().orElse(0);
+        return deployment.objectives().shortestWaitMicros() < fastestBoot;
+    }
+
     /** Some owned machine that is there could take a task of the job, if it were empty. */
     boolean ownedCouldFit(Job job, long nowMicros) {
         for (Machine machine : owned) {
--- a/src/main/java/madderrudder/coordination/Demand.java
+++ b/src/main/java/madderrudder/coordination/Demand.java
@@ -10,13 +10,18 @@
 import madderrudder.protocol.Priority;
 import madderrudder.protocol.Resources;
 
-/** Which jobs lie within a guarantee, and which wait for room, in the order in which they shall get it. */
-record Demand(Set<Job> guaranteed, List<Job> waiting) {
+/**
+ * Which jobs lie within a guarantee, and which wait for room, in the order in which they shall get it; and
+ * whether some work that must start promptly may not use cheap machines.
+ */
+record Demand(Set<Job> guaranteed, List<Job> waiting, boolean promptNeedsSteady) {
     private static final long NO_DEADLINE_MICROS = 120_000_000;
 
     static Demand of(Cluster cluster, long wallMicros) {
         Set<Job> guaranteed = guaranteed(cluster);
-        return new Demand(guaranteed, waiting(cluster, guaranteed, wallMicros));
+        boolean needsSteady = cluster.jobs.values().stream().anyMatch(
+                job -> !job.spec.spotAllowed() && cluster.deployment.objectives().wantsPromptStart(job.spec));
+        return new Demand(guaranteed, waiting(cluster, guaranteed, wallMicros), needsSteady);
     }
 
     /** Each fits into its team's guarantee together with the team's earlier unfinished jobs. */
--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -10,6 +10,7 @@
 import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
 import madderrudder.bookkeeping.MachineRecord;
+import madderrudder.bookkeeping.Metrics.Timing;
 import madderrudder.protocol.MachineType;
 import madderrudder.protocol.Resources;
 import madderrudder.protocol.StoreCodec.Write;
@@ -60,6 +61,7 @@
         Assignment assignment = new Assignment(new TaskId(job.spec.id(), task), attempt, machine,
                 job.spec.team(), job.spec.perTask(), job, false, term.scheduler.nowMicros());
         assignment.waitedMicros = assignment.placedMicros - job.waitingSinceMicros(task);
+        term.metrics.record(Timing.PLACING, assignment.waitedMicros);
         assignment.hadImage = machine.hasImage(job.spec.image());
         term.cluster.hold(assignment);
         term.journal.add(new MachineChange(machine), Lane.FIRST);
@@ -210,6 +212,7 @@
                 if (!assignment.durable) {
                     assignment.durable = true;
                     assignment.durableMicros = term.scheduler.nowMicros();
+                    term.metrics.record(Timing.RECORDING, assignment.durableMicros - assignment.placedMicros);
                 }
             }
             machine.retiringDurable |= retiring;
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -1,5 +1,7 @@
 package madderrudder.coordination;
 
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,6 +13,8 @@
 import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
 import madderrudder.bookkeeping.MachineRecord;
+import madderrudder.bookkeeping.Metrics;
+import madderrudder.bookkeeping.Metrics.Timing;
 import madderrudder.bookkeeping.StoreClient;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.MalformedMessage;
@@ -40,7 +44,7 @@
     /** What a leader stands on. */
     public record Surroundings(Scheduler scheduler, StoreClient store, HttpCalls calls, CloudClient cloud,
             Catalog catalog, Election election, Deployment deployment, Policy policy, String member,
-            Set<String> others) {
+            Set<String> others, Metrics metrics) {
     }
 
     /** What a worker is answered; null orders mean that this node may not act. */
@@ -274,6 +278,7 @@
         }
         fleet.takeTouched().forEach(desk::push);
         lastPlanMicros = term.scheduler.nowMicros() - now;
+        term.metrics.record(Timing.PLANNING, lastPlanMicros);
     }
 
     private void place(Placement placement) {
@@ -292,8 +297,21 @@
 
     private void summarise() {
         LOG.info("machines and processors in use: {}; {} tasks wait, {} changes unwritten, budget left {}",
-                Summary.of(term.cluster), term.cluster.jobs.values().stream().mapToInt(Job::waitingCount).sum(),
-                term.journal.backlog(), rentals.budgetLeft());
+                Summary.of(term.cluster), waitingTasks(), term.journal.backlog(), rentals.budgetLeft());
+    }
+
+    private int waitingTasks() {
+        return term.cluster.jobs.values().stream().mapToInt(Job::waitingCount).sum();
+    }
+
+    /** The state of things, for operators. */
+    public void writeState(JsonGenerator out) throws IOException {
+        out.writeNumberField("jobs", term.cluster.jobs.size());
+        out.writeNumberField("waiting_tasks", waitingTasks());
+        out.writeNumberField("unwritten_changes", term.journal.backlog());
+        out.writeNumberField("rentals_under_way", rentals.underWay());
+        out.writeNumberField("budget_left", rentals.budgetLeft());
+        out.writeStringField("machines", Summary.of(term.cluster));
     }
 
     private void saveCatalog() {
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -6,7 +6,6 @@
 import madderrudder.bookkeeping.MachineRecord;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
-import madderrudder.protocol.MachineType;
 import madderrudder.protocol.Priority;
 
 /**
@@ -60,8 +59,6 @@
                 - HEAD_BYTES - MachineRecord.IMAGES_BYTES) / ENTRY_BYTES);
         mostPlacements = MOST_TRANSACTIONS * cluster.deployment.state().transactionWrites();
         room = new Room(cluster);
-        long fastestBoot = cluster.types.values().stream().mapToLong(MachineType::bootMicros).min().orElse(0);
-        boolean rentingTooSlow = cluster.deployment.objectives().shortestWaitMicros() < fastestBoot;
         long all = 0;
         for (Machine machine : cluster.machines.values()) {
             if (machine.usable(nowMicros, cluster.deployment.workers().reportMicros())) {
@@ -73,7 +70,7 @@
                 }
             }
         }
-        keptMilliCpus = rentingTooSlow ? (long) (all * policy.headroom()) : 0;
+        keptMilliCpus = cluster.rentingTooSlow() ? (long) (all * policy.headroom()) : 0;
     }
 
     static List<Placement> plan(Cluster cluster, Policy policy, Demand demand, long nowMicros) {
--- a/src/main/java/madderrudder/coordination/RentalPlanner.java
+++ b/src/main/java/madderrudder/coordination/RentalPlanner.java
@@ -9,6 +9,7 @@
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.MachineType;
+import madderrudder.protocol.Priority;
 import madderrudder.protocol.Resources;
 
 /**
@@ -19,6 +20,8 @@
 final class RentalPlanner {
     /** The cloud lets this many machines of one kind be rented by one request. */
     static final int MOST_PER_REQUEST = 50;
+    /** Above any price: a cheap machine is taken only if no steady one is to be had. */
+    private static final double LACKING = 1e6;
 
     private final Cluster cluster;
     private final Policy policy;
@@ -29,6 +32,8 @@
     private final Map<Rental.Shelf, Integer> perShelf = new HashMap<>();
     private final Map<RentalKey, Rental> rentals = new LinkedHashMap<>();
     private int budgetLeft;
+    /** Steady room that is missing for work that must start before a machine could boot for it. */
+    private long lackMilliCpus;
 
     /** A machine that is on its way. */
     private static final class Coming {
@@ -48,7 +53,7 @@
     private record RentalKey(Rental.Shelf shelf, boolean counted) {
     }
 
-    private RentalPlanner(Cluster cluster, Policy policy, long nowMicros, int budgetLeft,
+    private RentalPlanner(Cluster cluster, Policy policy, Demand demand, long nowMicros, int budgetLeft,
             Predicate<Rental.Shelf> available, List<Rental> underWay) {
         this.cluster = cluster;
         this.policy = policy;
@@ -56,6 +61,7 @@
         this.budgetLeft = budgetLeft;
         this.available = available;
         room = new Room(cluster);
+        lackMilliCpus = cluster.rentingTooSlow() && demand.promptNeedsSteady() ? lack() : 0;
         for (Machine machine : cluster.machines.values()) {
             if (machine.booting()) {
                 coming.add(new Coming(machine.type, machine.zone, machine.spot));
@@ -65,6 +71,7 @@
             }
         }
         for (Rental rental : underWay) {
+            lackMilliCpus -= rental.spot() ? 0 : rental.count() * rental.type().capacity().milliCpus();
             for (int i = 0; i < rental.count(); i++) {
                 coming.add(new Coming(rental.type(), rental.zone(), rental.spot()));
             }
@@ -72,9 +79,34 @@
         }
     }
 
+    /**
+     * Production work that may not use cheap machines can only start at once on steady ones, in free room or
+     * in place of other work. Ordinary work goes to steady machines until there is a headroom of such room.
+     */
+    private long lack() {
+        long all = 0;
+        long steady = 0;
+        for (Machine machine : cluster.machines.values()) {
+            if (machine.retiring || machine.lapsed || machine.failed) {
+                continue;
+            }
+            all += machine.type.capacity().milliCpus();
+            if (!machine.spot) {
+                steady += machine.type.capacity().milliCpus();
+                for (Assignment assignment : machine.assignments.values()) {
+                    if (assignment.job != null && assignment.job.spec.priority() == Priority.PRODUCTION) {
+                        steady -= assignment.takes.milliCpus();
+                    }
+                }
+            }
+        }
+        return (long) (policy.headroom() * all) - steady;
+    }
+
     static List<Rental> plan(Cluster cluster, Policy policy, Demand demand, long nowMicros, int budgetLeft,
             Predicate<Rental.Shelf> available, List<Rental> underWay) {
-        RentalPlanner planner = new RentalPlanner(cluster, policy, nowMicros, budgetLeft, available, underWay);
+        RentalPlanner planner = new RentalPlanner(cluster, policy, demand, nowMicros, budgetLeft,
+                available, underWay);
         for (Job job : demand.waiting()) {
             if (!job.faulty() && job.nextWaiting(0) >= 0) {
                 planner.planJob(job);
@@ -123,7 +155,7 @@
      * spends some of the time it has to spare on waiting for cheap or owned room.
      */
     private boolean steadyToo(Job job, int task) {
-        if (!job.spec.spotAllowed() || cluster.deployment.objectives().wantsPromptStart(job.spec)) {
+        if (lackMilliCpus > 0 || !job.spec.spotAllowed() || cluster.deployment.objectives().wantsPromptStart(job.spec)) {
             return true;
         }
         List<Long> dues = cluster.deployment.objectives().dueMicros(job.spec);
@@ -184,7 +216,8 @@
                         continue;
                     }
                     // A big machine is cheap per task only if there are tasks to fill it.
-                    double cost = type.price(spot) / Math.min(fit, Math.max(1, waiting))
+                    boolean lacking = lackMilliCpus > 0 && spot;
+                    double cost = (lacking ? LACKING : 0) + type.price(spot) / Math.min(fit, Math.max(1, waiting))
                             + 1e-4 * perShelf.getOrDefault(rental.shelf(), 0)
                             + (job.spec.kind() == Kind.SERVICE ? 1e-3 * room.planned(job, zone) : 0);
                     if (cost < bestCost) {
@@ -198,6 +231,9 @@
             return null;
         }
         perShelf.merge(best.shelf(), 1, Integer::sum);
+        if (!best.spot() && job.spec.priority() != Priority.PRODUCTION) {
+            lackMilliCpus -= best.type().capacity().milliCpus();
+        }
         if (counted) {
             budgetLeft--;
         }
--- a/src/main/java/madderrudder/coordination/Rentals.java
+++ b/src/main/java/madderrudder/coordination/Rentals.java
@@ -73,6 +73,10 @@
         return !ownedSealed;
     }
 
+    int underWay() {
+        return open.size();
+    }
+
     int budgetLeft() {
         return budget.left(term.scheduler.wallMicros());
     }
--- a/src/main/java/madderrudder/coordination/Term.java
+++ b/src/main/java/madderrudder/coordination/Term.java
@@ -1,6 +1,7 @@
 package madderrudder.coordination;
 
 import madderrudder.bookkeeping.Journal;
+import madderrudder.bookkeeping.Metrics;
 import madderrudder.bookkeeping.StoreClient;
 import madderrudder.transport.HttpCalls;
 import madderrudder.transport.Scheduler;
@@ -18,6 +19,7 @@
     final Deployment deployment;
     final Policy policy;
     final Safety safety;
+    final Metrics metrics;
     final long number;
     final Journal journal;
     final Cluster cluster;
@@ -32,6 +34,7 @@
         election = around.election();
         deployment = around.deployment();
         policy = around.policy();
+        metrics = around.metrics();
         safety = Safety.of(deployment.workers());
         this.number = number;
         journal = new Journal(scheduler, store, around.member(), number, helmVersion,
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import madderrudder.bookkeeping.Metrics.Timing;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.MalformedMessage;
 import madderrudder.protocol.Order;
@@ -121,13 +122,13 @@
                 job == null ? Resources.NONE : job.spec.perTask());
     }
 
-    private static void progressed(Assignment assignment, Phase phase, long now) {
+    private void progressed(Assignment assignment, Phase phase, long now) {
         if (phase != Phase.FETCHING && assignment.phase != phase && assignment.job != null) {
             assignment.machine.usedImage(assignment.job.spec.image(), assignment.job.spec.imageGb());
         }
         if (phase == Phase.RUNNING && assignment.runningMicros < 0) {
             assignment.runningMicros = now;
-            logStart(assignment, now);
+            started(assignment, now);
             if (assignment.job != null) {
                 assignment.job.gangRan = true;
             }
@@ -135,8 +136,12 @@
         assignment.phase = phase;
     }
 
-    private static void logStart(Assignment assignment, long now) {
-        if (LOG.isDebugEnabled() && !assignment.inherited) {
+    private void started(Assignment assignment, long now) {
+        if (assignment.inherited) {
+            return;
+        }
+        term.metrics.record(Timing.STARTING, assignment.waitedMicros + now - assignment.placedMicros);
+        if (LOG.isDebugEnabled()) {
             LOG.debug("{} of {} runs on {} ({} {}): waited {} ms, recorded {} ms, told {} ms, fetched {} ms{}",
                     assignment.task, assignment.job == null ? "?" : assignment.job.spec.jobClass(),
                     assignment.machine.id, assignment.machine.type.name(),
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -1,5 +1,7 @@
 package madderrudder.service;
 
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -9,6 +11,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import madderrudder.bookkeeping.Metrics;
+import madderrudder.bookkeeping.Metrics.Timing;
 import madderrudder.bookkeeping.StoreClient;
 import madderrudder.coordination.Catalog;
 import madderrudder.coordination.CloudClient;
@@ -66,6 +70,8 @@
         }
     };
     private final Set<Homeless> homeless = new LinkedHashSet<>();
+    private final Metrics metrics = new Metrics();
+    private long lastPulseMicros = -1;
     private Leader leader;
     private int pulses;
     private boolean malformedLogged;
@@ -106,7 +112,7 @@
         users = new UserDesk(scheduler, store, catalog, deployment.teams(), deployment.state().valueBytes(),
                 this::progress);
         surroundings = new Leader.Surroundings(scheduler, store, calls, cloud, catalog, election, deployment, policy,
-                settings.member(), Set.copyOf(settings.peers().keySet()));
+                settings.member(), Set.copyOf(settings.peers().keySet()), metrics);
     }
 
     public void start() {
@@ -134,6 +140,11 @@
     }
 
     private void pulse() {
+        long now = scheduler.nowMicros();
+        if (lastPulseMicros >= 0) {
+            metrics.record(Timing.LOOP_DELAY, now - lastPulseMicros - PULSE_MICROS);
+        }
+        lastPulseMicros = now;
         String name = election.leader();
         peers.broadcast(MeshFrame.encode(new MeshFrame.Pulse(settings.member(), election.highestTerm(),
                 name == null ? "" : name, storeAnswers())));
@@ -192,10 +203,12 @@
             only("GET", request, answer, () -> answer.accept(healthy()
                     ? HttpResponse.of(200, Json.object(out -> out.writeBooleanField("ok", true)))
                     : UserDesk.unavailable("not ready")));
+        } else if (path.equals("/metrics")) {
+            only("GET", request, answer, () -> answer.accept(HttpResponse.of(200, Json.object(this::writeMetrics))));
         } else if (path.equals("/hello")) {
             only("POST", request, answer, () -> report(request.body(), answer));
         } else if (path.equals(JOBS)) {
-            only("POST", request, answer, () -> users.submit(request.body(), answer));
+            only("POST", request, answer, () -> submit(request.body(), answer));
         } else if (path.startsWith(JOBS + "/") && path.endsWith(WITHDRAW)) {
             String id = path.substring(JOBS.length() + 1, path.length() - WITHDRAW.length());
             only("POST", request, answer, () -> users.withdraw(id, answer));
@@ -206,6 +219,25 @@
         }
     }
 
+    private void submit(byte[] body, Consumer<HttpResponse> answer) {
+        long beginMicros = scheduler.nowMicros();
+        users.submit(body, response -> {
+            metrics.record(Timing.SUBMISSION, scheduler.nowMicros() - beginMicros);
+            answer.accept(response);
+        });
+    }
+
+    private void writeMetrics(JsonGenerator out) throws IOException {
+        String name = election.leader();
+        out.writeStringField("member", settings.member());
+        out.writeStringField("leader", name == null ? "" : name);
+        out.writeNumberField("term", election.highestTerm());
+        if (leader != null && leader.ready()) {
+            leader.writeState(out);
+        }
+        metrics.write(out);
+    }
+
     private static void only(String method, HttpRequest request, Consumer<HttpResponse> answer, Runnable action) {
         if (request.method().equals(method)) {
             action.run();
--- a/src/test/java/madderrudder/cli/PackagedProgramIT.java
+++ b/src/test/java/madderrudder/cli/PackagedProgramIT.java
@@ -93,6 +93,9 @@
             assertEquals(404, call("GET", base + "/nowhere", "").statusCode());
             assertEquals(405, call("DELETE", base + "/v1/jobs", "").statusCode());
             assertTrue(call("GET", base + "/v1/jobs/req-000001", "").body().contains("\"pending\""));
+            String metrics = call("GET", base + "/metrics", "").body();
+            assertTrue(metrics.contains("\"member\":\"n-0\"")
+                    && metrics.contains("\"submission\":{\"count\":4,"), metrics);
             assertTrue(call("POST", base + "/v1/jobs/req-000001/withdraw", "").body().contains("\"aborted\""));
             assertTrue(call("GET", base + "/v1/jobs/req-000001", "").body().contains("\"aborted\""));
         } finally {
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -198,6 +199,83 @@
         assertEquals(1, Preemption.plan(cluster, POLICY, Demand.of(cluster, 0), 21 * SECOND).size());
     }
 
+    /** Counts how often the planners look at a machine for a job. */
+    private static final class CountingCluster extends Cluster {
+        private long looks;
+
+        CountingCluster(Deployment deployment) {
+            super(deployment);
+        }
+
+        @Override
+        boolean allowed(Job job, Machine machine) {
+            looks++;
+            return super.allowed(job, machine);
+        }
+    }
+
+    /** Planning that looked at each machine for each waiting task took all of the processor at 490 machines. */
+    @Test
+    void planningLooksAtEachMachineOnceForAJobNotForEachTask() {
+        CountingCluster large = new CountingCluster(cluster.deployment);
+        large.types = cluster.types;
+        int machines = 400;
+        int jobs = 10;
+        for (int i = 0; i < machines; i++) {
+            Machine machine = new Machine("m-" + i, TYPE, i % 2 == 0 ? "east" : "west", false, false, 0, 0);
+            machine.reported = true;
+            large.add(machine);
+        }
+        for (int i = 0; i < jobs; i++) {
+            large.jobs.put("req-" + i, job("req-" + i, "alto", Kind.ARRAY, Priority.NORMAL, 300, 0.01, false));
+        }
+        assertTrue(Placer.plan(large, POLICY, Demand.of(large, 0), SECOND).size() > 300);
+        assertTrue(large.looks <= (long) jobs * machines, large.looks + " looks to place");
+        large.looks = 0;
+        Preemption.plan(large, POLICY, Demand.of(large, 0), SECOND);
+        assertTrue(large.looks <= (long) jobs * machines, large.looks + " looks to make room");
+        // What ends costs no look at any machine at all.
+        large.looks = 0;
+        Job first = large.jobs.get("req-0");
+        List<Assignment> placed = new ArrayList<>();
+        for (int task = 0; task < 300; task++) {
+            Assignment assignment = new Assignment(new TaskId("req-0", task), task + 1, large.machines.get("m-" + task),
+                    "alto", first.spec.perTask(), first, false, 0);
+            large.hold(assignment);
+            placed.add(assignment);
+        }
+        assertEquals(3_000, large.usage().get("alto").milliCpus());
+        placed.forEach(assignment -> large.release(assignment, SECOND));
+        assertEquals(0, large.usage().get("alto").milliCpus());
+        assertEquals(0, large.looks);
+    }
+
+    /** Production that may not use cheap machines starts at once only in steady room, free or made. */
+    @Test
+    void ordinaryWorkRentsSteadyMachinesUntilProductionHasItsHeadroom() {
+        Policy patient = new Policy(0, SECOND, 100, 300 * SECOND, SECOND, Policy.SpotMode.ALWAYS, 3 * SECOND, 0.25, 0.5);
+        Cluster hasty = cluster(new Objectives(Map.of("desk", SECOND), Map.of("class", List.of(100 * SECOND)), Map.of()));
+        hasty.types = cluster.types;
+        hasty.jobs.put("req-1", job("req-1", "alto", Kind.ARRAY, Priority.NORMAL, 3, 4, false));
+        assertTrue(RentalPlanner.plan(hasty, patient, Demand.of(hasty, 0), SECOND, 100, shelf -> true, List.of())
+                .stream().allMatch(Rental::spot));
+        JobSpec desk = new JobSpec("req-2", "desk", "basso", Kind.SERVICE, Priority.PRODUCTION, 1, Resources.of(1, 0, 1),
+                "img", 1, null, null, false, false, false, 0, 0, 0, 0);
+        Job service = new Job(desk, teams.get("basso"), 1, 1, 0);
+        hasty.jobs.put("req-2", service);
+        for (String id : List.of("m-0", "m-1", "m-2", "m-3")) {
+            Machine machine = new Machine(id, TYPE, "east", !id.equals("m-0"), false, 0, 0);
+            machine.reported = true;
+            hasty.add(machine);
+        }
+        hasty.hold(new Assignment(new TaskId("req-2", 0), 1, hasty.machines.get("m-0"), "basso",
+                Resources.of(1, 0, 1), service, false, 0));
+        List<Rental> rented = RentalPlanner.plan(hasty, patient, Demand.of(hasty, 0), SECOND, 100, shelf -> true, List.of());
+        // A quarter of 16 processors is wanted and 3 of the steady ones are free of production: one more is rented.
+        assertEquals(1, rented.stream().filter(rental -> !rental.spot()).mapToInt(Rental::count).sum());
+        assertEquals(2, rented.stream().filter(Rental::spot).mapToInt(Rental::count).sum());
+    }
+
     /** With too much to do, going by deadlines alone once made everything late in turn. */
     @Test
     void whatCanStillBeInTimeComesBeforeWhatIsLate() {
