--- a/src/main/java/madderrudder/coordination/Preemption.java
+++ b/src/main/java/madderrudder/coordination/Preemption.java
@@ -17,6 +17,9 @@
  * guarantee at the cost of teams beyond theirs. A pure function of what it is given.
  */
 final class Preemption {
+    /** Processor seconds of other work that a second of fetching is worth. */
+    private static final double FETCH_WEIGHT = 40;
+
     private final Cluster cluster;
     private final Policy policy;
     private final long nowMicros;
@@ -104,10 +107,16 @@
     private void offer(Job job, Machine machine, PriorityQueue<Option> queue) {
         List<Assignment> stops = stopsFor(job, machine);
         if (stops != null) {
-            queue.add(new Option(machine, stops, loss(stops)));
+            queue.add(new Option(machine, stops, loss(stops) + fetching(job, machine)));
         }
     }
 
+    /** Room is made in a hurry: where the image has to be fetched first, it is worth less. */
+    private static double fetching(Job job, Machine machine) {
+        return job.spec.priority() != Priority.PRODUCTION || machine.hasImage(job.spec.image()) ? 0
+                : FETCH_WEIGHT * job.spec.imageGb() / machine.type.fetchGbPerS();
+    }
+
     /** The option that loses least and still holds; zones close, and teams come to be within their guarantee. */
     private Option cheapest(Job job, PriorityQueue<Option> queue, Room room) {
         while (!queue.isEmpty()) {
