Machines boot for production on silent ones; what no owned machine could take is never held

Machines boot for production on silent machines before their leases are over, unless most are silent; they count as room, so nothing is rented twice.

--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -274,8 +274,8 @@
                 LOG.debug("stopping {} on {} to make room", victim.task, victim.machine.id);
                 fleet.unwant(victim);
             }
-            rentals.reconcile(demand, now);
         }
+        rentals.reconcile(demand, now);
         fleet.takeTouched().forEach(desk::push);
         lastPlanMicros = term.scheduler.nowMicros() - now;
         term.metrics.record(Timing.PLANNING, lastPlanMicros);
--- a/src/main/java/madderrudder/coordination/Machine.java
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -102,7 +102,12 @@
 
     boolean usable(long nowMicros, long reportMicros) {
         return reported && !retiring && !failed && !lapsed && nowMicros >= avoidUntilMicros
-                && nowMicros - answeredMicros < 3 * reportMicros + 1_000_000;
+                && !silent(nowMicros, reportMicros);
+    }
+
+    /** Several reports are missing, though its worker may still have its tasks. */
+    boolean silent(long nowMicros, long reportMicros) {
+        return reported && nowMicros - answeredMicros >= 3 * reportMicros + 1_000_000;
     }
 
     /** The image has been here lately, and the newer ones leave room for it. */
--- a/src/main/java/madderrudder/coordination/RentalPlanner.java
+++ b/src/main/java/madderrudder/coordination/RentalPlanner.java
@@ -112,9 +112,57 @@
                 planner.planJob(job);
             }
         }
+        planner.soonMissing().forEach(planner::planMissing);
         return List.copyOf(planner.rentals.values());
     }
 
+    /**
+     * Production work on machines that have fallen silent is likely to be missing soon. It may not be started
+     * elsewhere before their leases are over, but what it will need then can boot meanwhile; what turns out not
+     * to be needed goes back when idle. If most are silent, it is rather this node that is cut off.
+     */
+    private Map<Job, Integer> soonMissing() {
+        Map<Job, Integer> missing = new LinkedHashMap<>();
+        int silent = 0;
+        int heard = 0;
+        for (Machine machine : cluster.machines.values()) {
+            if (!machine.reported || machine.lapsed || machine.retiring) {
+                continue;
+            }
+            heard++;
+            if (machine.silent(nowMicros, cluster.deployment.workers().reportMicros())) {
+                silent++;
+                for (Assignment assignment : machine.assignments.values()) {
+                    if (assignment.job != null && !assignment.unwanted
+                            && assignment.job.spec.priority() == Priority.PRODUCTION) {
+                        missing.merge(assignment.job, 1, Integer::sum);
+                    }
+                }
+            }
+        }
+        return 2 * silent < heard ? missing : Map.of();
+    }
+
+    private void planMissing(Job job, int count) {
+        boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
+        List<Coming> fitting = fitting(job);
+        int next = 0;
+        for (int left = count; left > 0; left--) {
+            while (next < fitting.size() && !takes(job, fitting.get(next))) {
+                next++;
+            }
+            if (next == fitting.size()) {
+                Coming rented = rent(job, ownedFits, left, true);
+                if (rented == null) {
+                    return;
+                }
+                coming.add(rented);
+                fitting.add(rented);
+            }
+            take(job, fitting.get(next));
+        }
+    }
+
     /**
      * A machine that is too full for a task of the job, or in a zone that is closed to it, stays so for the
      * rest of the job in this round: the machines on their way are gone through once for each job.
@@ -136,7 +184,7 @@
                 next++;
             }
             if (next == fitting.size()) {
-                Coming rented = rent(job, ownedFits, waiting, steadyToo(job, task));
+                Coming rented = rent(job, ownedFits, waiting, !ownedFits || steadyToo(job, task));
                 more = rented != null;
                 if (more) {
                     coming.add(rented);
@@ -152,7 +200,8 @@
 
     /**
      * A steady machine costs a multiple of a cheap one. Work that may use either, and need not start at once,
-     * spends some of the time it has to spare on waiting for cheap or owned room.
+     * spends some of the time it has to spare on waiting for cheap or owned room. What no owned machine could take
+     * is never held.
      */
     private boolean steadyToo(Job job, int task) {
         if (lackMilliCpus > 0 || !job.spec.spotAllowed() || cluster.deployment.objectives().wantsPromptStart(job.spec)) {
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -276,6 +276,27 @@
         assertEquals(2, rented.stream().filter(Rental::spot).mapToInt(Rental::count).sum());
     }
 
+    /** Replicas of a zone that was cut off were missing for a lease and then for a boot as well. */
+    @Test
+    void machinesBootForProductionOnSilentOnesBeforeTheirLeasesAreOver() {
+        Job service = job("req-1", "alto", Kind.SERVICE, Priority.PRODUCTION, 2, 4, false);
+        Machine silent = machine("m-0", "east", false);
+        put(service, 0, silent);
+        put(service, 1, machine("m-1", "east", false));
+        machine("m-2", "east", false);
+        long later = 10 * SECOND;
+        cluster.machines.values().forEach(machine -> machine.answeredMicros = later);
+        assertEquals(List.of(), rentals(later, 10));
+        silent.answeredMicros = 0;
+        List<Rental> rented = rentals(later, 10);
+        assertEquals(1, rented.stream().mapToInt(Rental::count).sum());
+        // What is on its way counts as room, so that nothing is rented twice.
+        assertEquals(List.of(), RentalPlanner.plan(cluster, POLICY, Demand.of(cluster, 0), later, 10, shelf -> true, rented));
+        // With most machines silent, this node is cut off, and renting would help nobody.
+        cluster.machines.values().forEach(machine -> machine.answeredMicros = 0);
+        assertEquals(List.of(), rentals(later, 10));
+    }
+
     /** With too much to do, going by deadlines alone once made everything late in turn. */
     @Test
     void whatCanStillBeInTimeComesBeforeWhatIsLate() {
