--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -12,6 +12,7 @@
 import madderrudder.bookkeeping.MachineRecord;
 import madderrudder.bookkeeping.Metrics.Timing;
 import madderrudder.protocol.MachineType;
+import madderrudder.protocol.Priority;
 import madderrudder.protocol.Resources;
 import madderrudder.protocol.StoreCodec.Write;
 import madderrudder.protocol.TaskId;
@@ -116,7 +117,9 @@
         if (again && machine.lingering.add(assignment.task)) {
             term.cluster.linger(assignment.task);
         }
-        term.journal.add(new MachineChange(machine), again ? Lane.FIRST : Lane.LATER);
+        // After a wave of losses hundreds of records are dropped: they must not stand before the starts.
+        term.journal.add(new MachineChange(machine), !again ? Lane.LATER
+                : job.spec.priority() == Priority.PRODUCTION ? Lane.FIRST : Lane.SOON);
     }
 
     void releaseAll(Machine machine) {
