--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -17,11 +17,12 @@
  */
 final class Placer {
     /**
-     * What another replica on the machine weighs, in seconds of fetching: of the same job, of any. It decides
-     * between machines that have the image; a fetch costs every replica its time, an end only a few and seldom.
+     * What another replica on the machine weighs, in seconds of fetching: of the same job, of any. One machine's
+     * end should take few replicas with it, since they are missing for a whole lease; but a fetch costs every
+     * replica its time, so that a handful of neighbours weighs less than a common image.
      */
-    private static final double SAME_JOB_S = 0.1;
-    private static final double NEIGHBOUR_S = 0.01;
+    private static final double SAME_JOB_S = 0.6;
+    private static final double NEIGHBOUR_S = 0.15;
     private static final double RENTED_S = 1000;
     private static final double STEADY_S = 2;
     /** Keeps the record of a machine within one stored value. */
@@ -193,7 +194,6 @@
             cost += STEADY_S;
         }
         if (spec.kind() == Kind.SERVICE) {
-            // One machine's end should take few replicas with it: they are missing for a whole lease.
             cost += room.added(job, machine) * SAME_JOB_S;
             for (Assignment assignment : machine.assignments.values()) {
                 if (assignment.job != null && assignment.job.spec.kind() == Kind.SERVICE) {
