A limit of 0 in the settings stands for none: teams shared out by accelerators may run

Cause: the further deployment's teams have gpus and gpus_max, and cpus and cpus_max of 0, which DEPLOY calls none. Ruled out: the machine types (known after 1 s), reports (285 machines there).

Test: SettingsTest.aLimitOfNoneLeavesTheResourceFree.

--- a/src/main/java/madderrudder/service/Settings.java
+++ b/src/main/java/madderrudder/service/Settings.java
@@ -122,11 +122,11 @@
         for (Fields team : check.read(path + "teams", List.<Fields>of(), () -> in.objects("teams"))) {
             String where = path + "teams[" + teams.size() + "]";
             String name = check.read(where, "", () -> team.text("name"));
-            teams.put(name, new Team(name,
+            teams.put(name, Team.of(name,
                     check.read(where, Resources.NONE,
                             () -> Resources.of(team.amount("cpus", 0), team.amount("gpus", 0), 0)),
                     check.read(where, Resources.NONE,
-                            () -> Resources.of(team.amount("cpus_max"), team.amount("gpus_max", 0), 0))));
+                            () -> Resources.of(team.amount("cpus_max", 0), team.amount("gpus_max", 0), 0))));
         }
         Fields workers = check.read(path + "workers", nothing, () -> in.object("workers"));
         Fields state = check.read(path + "state", nothing, () -> in.object("state"));
--- a/src/test/java/madderrudder/service/SettingsTest.java
+++ b/src/test/java/madderrudder/service/SettingsTest.java
@@ -1,11 +1,14 @@
 package madderrudder.service;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import madderrudder.coordination.Policy;
+import madderrudder.coordination.Team;
+import madderrudder.protocol.Resources;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -35,6 +38,20 @@
         assertEquals(900, settings.maxSockets());
     }
 
+    /** Teams shared out by accelerators alone have a limit of 0 processors, which stands for none. */
+    @Test
+    void aLimitOfNoneLeavesTheResourceFree() throws Settings.Invalid {
+        Team team = parse(GOOD.replace("\"cpus\":32.0,\"cpus_max\":72.0,\"gpus\":0.0,\"gpus_max\":0.0",
+                "\"cpus\":0.0,\"cpus_max\":0.0,\"gpus\":9.0,\"gpus_max\":20.0")).deployment().teams().get("alto");
+        assertTrue(team.allows(Resources.of(5_000, 20, 0)));
+        assertFalse(team.allows(Resources.of(1, 21, 0)));
+        assertTrue(team.guarantees(Resources.of(5_000, 9, 0)));
+        assertFalse(team.guarantees(Resources.of(1, 10, 0)));
+        Team free = parse(GOOD.replace("\"cpus\":32.0", "\"cpus\":0.0")).deployment().teams().get("alto");
+        assertFalse(free.guarantees(Resources.of(1, 0, 0)));
+        assertFalse(free.allows(Resources.of(73, 0, 0)));
+    }
+
     @Test
     void namesEveryProblemAtOnce() {
         Settings.Invalid invalid = assertThrows(Settings.Invalid.class, () -> parse(GOOD
