Machines and placements are kept in a log of pages: a start costs a fraction of a write

Cause: with one key a machine each start rewrote a record; 1,400 machines start about 100 tasks a second, and the store of the further deployment takes 35 changes a second.

Ruled out: processor (leader 0.2 of a core while the backlog grew), transactions not filled (16 of 16 writes each).

Now: FleetLog writes one page for all that was placed since the last transaction and writes the oldest over once the log is larger than what it says; LogReading replays it at take-over. What has ended is named with or before what is placed later, so a task is never named twice and nothing has to linger.

Tests: pages keep within a value and come back; pages are read in order; the simulation checks after each transaction that no task is named twice, and at each start that the log names it.

--- a/src/main/java/madderrudder/bookkeeping/Keys.java
+++ b/src/main/java/madderrudder/bookkeeping/Keys.java
@@ -1,5 +1,7 @@
 package madderrudder.bookkeeping;
 
+import madderrudder.protocol.MalformedMessage;
+
 /** Where things are kept in the store. */
 public final class Keys {
     /** Attached to the leader's hold; exists only while somebody leads. */
@@ -10,7 +12,8 @@
     public static final String LIVE = "l/";
     public static final String FINISHED = "f/";
     public static final String PROGRESS = "p/";
-    public static final String MACHINES = "m/";
+    /** The pages of the leader's log: machines, and what may be on them. */
+    public static final String PAGES = "s/";
     public static final String RENTALS = "r/";
     public static final String BUDGET = "budget";
     /** Which machines were there before the first rental. */
@@ -34,8 +37,16 @@
         return PROGRESS + job + "/" + chunk;
     }
 
-    public static String machine(String machine) {
-        return MACHINES + machine;
+    public static String page(int slot) {
+        return PAGES + slot;
+    }
+
+    public static int slot(String page) throws MalformedMessage {
+        try {
+            return Integer.parseInt(page.substring(PAGES.length()));
+        } catch (NumberFormatException e) {
+            throw new MalformedMessage("not a page: " + page);
+        }
     }
 
     public static String rental(String request) {
--- a/src/main/java/madderrudder/coordination/Assignment.java
+++ b/src/main/java/madderrudder/coordination/Assignment.java
@@ -16,7 +16,9 @@
     final Job job;
     /** Written by an earlier leader, whose commands may still be on the way to the worker. */
     final boolean inherited;
-    /** The record that names this task is durable, so it may be started. */
+    /** The page of the log that names it, once one does. */
+    FleetLog.Page page;
+    /** A page that names this task is durable, so it may be started. */
     boolean durable;
     /** The task shall not run here (any more). */
     boolean unwanted;
--- a/src/main/java/madderrudder/coordination/Cluster.java
+++ b/src/main/java/madderrudder/coordination/Cluster.java
@@ -23,7 +23,6 @@
     // Kept up to date with every change: made anew, they would cost more with each task and machine there is.
     private final Set<Machine> owned = new LinkedHashSet<>();
     private final Map<String, Resources> usage = new HashMap<>();
-    private final Map<TaskId, Integer> lingering = new HashMap<>();
     private final Map<String, Double> ratios = new HashMap<>();
     private final Map<TaskId, Integer> strayed = new HashMap<>();
 
@@ -106,19 +105,6 @@
         return new HashMap<>(usage);
     }
 
-    /** A record in the store still names the task, though it has gone from the machine. */
-    void linger(TaskId task) {
-        lingering.merge(task, 1, Integer::sum);
-    }
-
-    void unlinger(TaskId task) {
-        lingering.computeIfPresent(task, (t, count) -> count == 1 ? null : count - 1);
-    }
-
-    boolean lingers(String job, int task) {
-        return !lingering.isEmpty() && lingering.containsKey(new TaskId(job, task));
-    }
-
     /** Whether the worker of some machine says it has the task though no record names it there. */
     boolean strayed(String job, int task) {
         return !strayed.isEmpty() && strayed.containsKey(new TaskId(job, task));
--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -1,20 +1,23 @@
 package madderrudder.coordination;
 
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import madderrudder.bookkeeping.Change;
-import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
-import madderrudder.bookkeeping.MachineRecord;
+import madderrudder.bookkeeping.LogPage;
+import madderrudder.bookkeeping.LogReading;
 import madderrudder.bookkeeping.Metrics.Timing;
+import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.MachineType;
-import madderrudder.protocol.Priority;
+import madderrudder.protocol.MalformedMessage;
 import madderrudder.protocol.Resources;
-import madderrudder.protocol.StoreCodec.Write;
+import madderrudder.protocol.StoreCodec.Item;
 import madderrudder.protocol.TaskId;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -27,10 +30,11 @@
     private final Set<String> removed = new HashSet<>();
     private final Set<Machine> touched = new LinkedHashSet<>();
     private Consumer<Machine> onDurable = machine -> { };
-    private Runnable onFree = () -> { };
+    private final FleetLog log;
 
     Fleet(Term term) {
         this.term = term;
+        log = new FleetLog(term, machine -> onDurable.accept(machine));
     }
 
     /** Called when what was written of a machine has become durable. */
@@ -38,11 +42,6 @@
         onDurable = action;
     }
 
-    /** Called when tasks may be placed again. */
-    void onFree(Runnable action) {
-        onFree = action;
-    }
-
     Machine add(String id, String type, String zone, boolean spot, boolean owned, long rentedWallMicros) {
         MachineType known = term.cluster.types.get(type);
         if (known == null) {
@@ -65,23 +64,51 @@
         term.metrics.record(Timing.PLACING, assignment.waitedMicros);
         assignment.hadImage = machine.hasImage(job.spec.image());
         term.cluster.hold(assignment);
-        term.journal.add(new MachineChange(machine), Lane.FIRST);
+        log.placed(assignment);
         return assignment;
     }
 
-    Assignment inherit(Machine machine, MachineRecord.Entry entry) {
+    /** Takes over what the log of earlier leaders says. */
+    void load(List<Item> items) throws MalformedMessage {
+        Map<Long, Integer> slots = new HashMap<>();
+        List<LogPage> pages = new ArrayList<>();
+        for (Item item : items) {
+            LogPage page = LogPage.read(item.value());
+            pages.add(page);
+            slots.put(page.number(), Keys.slot(item.key()));
+        }
+        pages.sort(Comparator.comparingLong(LogPage::number));
+        LogReading reading = LogReading.of(pages);
+        for (LogPage.MachineEntry entry : reading.machines()) {
+            LogPage.Kind kind = entry.kind();
+            Machine machine = add(entry.id(), kind.type(), kind.zone(), kind.spot(), kind.owned(),
+                    entry.rentedWallMicros());
+            machine.retiring = entry.retiring();
+            machine.retiringDurable = entry.retiring();
+        }
+        reading.placed().forEach(this::inherit);
+        for (LogPage.Image image : reading.images()) {
+            Machine machine = term.cluster.machines.get(image.machine());
+            if (machine != null) {
+                machine.usedImage(image.name(), image.gb());
+            }
+        }
+        pages.forEach(page -> log.load(slots.get(page.number()), page));
+    }
+
+    private void inherit(LogPage.Entry entry) {
         Job job = term.cluster.jobs.get(entry.task().job());
         if (job != null && entry.task().index() >= job.spec.tasks()) {
             job = null;
         }
-        Assignment assignment = new Assignment(entry.task(), entry.attempt(), machine, entry.team(), entry.takes(),
-                job, true, term.scheduler.nowMicros());
+        Assignment assignment = new Assignment(entry.task(), entry.attempt(),
+                term.cluster.machines.get(entry.machine()), entry.share().team(), entry.share().takes(), job, true,
+                term.scheduler.nowMicros());
         assignment.durable = true;
         if (job == null || job.done.get(entry.task().index())) {
             assignment.unwanted = true;
         }
         term.cluster.hold(assignment);
-        return assignment;
     }
 
     /** The task shall not run there any more; its worker will hear of it. */
@@ -98,10 +125,8 @@
     }
 
     /**
-     * The task is surely not on the machine any more. Its record may outlive it for a moment: that only
-     * makes a new leader more careful, so it goes with what is written of the machine next, or when there
-     * is little else to write. A task that will be placed again has to wait until it has gone, though: named
-     * by two records, it would be started at both machines by a new leader.
+     * The task is surely not on the machine any more. The log may name it for a moment longer: that only makes a
+     * new leader more careful, and whatever is placed later is written with it or after it.
      */
     void release(Assignment assignment) {
         Machine machine = assignment.machine;
@@ -112,14 +137,16 @@
         if (machine.empty()) {
             machine.idleSinceMicros = now;
         }
-        Job job = assignment.job;
-        boolean again = job != null && !job.over && !job.done.get(assignment.task.index());
-        if (again && machine.lingering.add(assignment.task)) {
-            term.cluster.linger(assignment.task);
+        log.ended(assignment);
+    }
+
+    /** The machine has the image from now on. */
+    void usedImage(Machine machine, JobSpec job) {
+        boolean known = machine.hasImage(job.image());
+        machine.usedImage(job.image(), job.imageGb());
+        if (!known) {
+            log.kept(machine, job.image(), job.imageGb());
         }
-        // After a wave of losses hundreds of records are dropped: they must not stand before the starts.
-        term.journal.add(new MachineChange(machine), !again ? Lane.LATER
-                : job.spec.priority() == Priority.PRODUCTION ? Lane.FIRST : Lane.SOON);
     }
 
     void releaseAll(Machine machine) {
@@ -135,7 +162,7 @@
         releaseAll(machine);
         term.cluster.remove(machine);
         removed.add(machine.id);
-        save(machine);
+        log.gone(machine);
     }
 
     void retire(Machine machine, String why) {
@@ -166,60 +193,6 @@
     }
 
     void save(Machine machine) {
-        term.journal.add(new MachineChange(machine), Lane.SOON);
-    }
-
-    /** Writes what is wished of one machine at the moment of writing. */
-    private final class MachineChange implements Change {
-        private final Machine machine;
-        private List<Assignment> written = List.of();
-        private boolean retiring;
-
-        MachineChange(Machine machine) {
-            this.machine = machine;
-        }
-
-        @Override
-        public String name() {
-            return Keys.machine(machine.id);
-        }
-
-        @Override
-        public List<Write> writes() {
-            if (removed.contains(machine.id)) {
-                return List.of(Write.drop(Keys.machine(machine.id)));
-            }
-            written = new ArrayList<>(machine.assignments.values());
-            retiring = machine.retiring;
-            return List.of(Write.put(Keys.machine(machine.id), machine.record().render()));
-        }
-
-        /** What was released after this was built is named by it, and lingers on. */
-        private void forgetLingering() {
-            Set<TaskId> named = new HashSet<>();
-            written.forEach(assignment -> named.add(assignment.task));
-            List<TaskId> gone = machine.lingering.stream().filter(task -> !named.contains(task)).toList();
-            gone.forEach(task -> {
-                machine.lingering.remove(task);
-                term.cluster.unlinger(task);
-            });
-            if (!gone.isEmpty()) {
-                onFree.run();
-            }
-        }
-
-        @Override
-        public void committed() {
-            forgetLingering();
-            for (Assignment assignment : written) {
-                if (!assignment.durable) {
-                    assignment.durable = true;
-                    assignment.durableMicros = term.scheduler.nowMicros();
-                    term.metrics.record(Timing.RECORDING, assignment.durableMicros - assignment.placedMicros);
-                }
-            }
-            machine.retiringDurable |= retiring;
-            onDurable.accept(machine);
-        }
+        log.machine(machine);
     }
 }
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -12,7 +12,6 @@
 import madderrudder.bookkeeping.Change;
 import madderrudder.bookkeeping.Journal.Lane;
 import madderrudder.bookkeeping.Keys;
-import madderrudder.bookkeeping.MachineRecord;
 import madderrudder.bookkeeping.Metrics;
 import madderrudder.bookkeeping.Metrics.Timing;
 import madderrudder.bookkeeping.StoreClient;
@@ -20,7 +19,6 @@
 import madderrudder.protocol.MalformedMessage;
 import madderrudder.protocol.MeshFrame.JobProgress;
 import madderrudder.protocol.Order;
-import madderrudder.protocol.StoreCodec.Item;
 import madderrudder.protocol.StoreCodec.Write;
 import madderrudder.protocol.WorkerReport;
 import madderrudder.transport.HttpCalls;
@@ -75,7 +73,6 @@
         rentals = new Rentals(term, fleet, around.cloud());
         desk = new WorkerDesk(term, fleet, jobs, rentals, this::planSoon);
         fleet.onDurable(this::durable);
-        fleet.onFree(this::planSoon);
     }
 
     public void begin() {
@@ -91,9 +88,8 @@
         term.cluster.types = around.catalog().types();
         try {
             jobs.load(found, readMicros);
-            for (Item item : found.under(Keys.MACHINES)) {
-                inherit(MachineRecord.read(item.key().substring(Keys.MACHINES.length()), item.value()));
-            }
+            fleet.load(found.under(Keys.PAGES));
+            term.cluster.machines.values().forEach(this::answeredEarlier);
             rentals.load(found);
         } catch (MalformedMessage e) {
             LOG.error("what the store holds is unreadable: {}", e.getMessage());
@@ -113,16 +109,8 @@
      * A machine that an earlier leader used may still be answered by that leader for a while, and its
      * worker's lease begins only after that.
      */
-    private void inherit(MachineRecord record) {
-        Machine machine = fleet.add(record.id(), record.type(), record.zone(), record.spot(), record.owned(),
-                record.rentedWallMicros());
+    private void answeredEarlier(Machine machine) {
         machine.answeredMicros += othersStoodBack() ? 0 : term.safety.answerMicros();
-        machine.retiring = record.retiring();
-        machine.retiringDurable = record.retiring();
-        record.images().forEach(image -> machine.usedImage(image.name(), image.gb()));
-        for (MachineRecord.Entry entry : record.entries()) {
-            fleet.inherit(machine, entry);
-        }
     }
 
     private boolean othersStoodBack() {
--- a/src/main/java/madderrudder/coordination/Machine.java
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -1,13 +1,11 @@
 package madderrudder.coordination;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import madderrudder.bookkeeping.MachineRecord;
 import madderrudder.protocol.MachineType;
 import madderrudder.protocol.Resources;
 import madderrudder.protocol.TaskId;
@@ -55,8 +53,8 @@
     List<Stray> strays = List.of();
     /** What all that may be on the machine takes; kept by the cluster. */
     Resources used = Resources.NONE;
-    /** Tasks that have gone and that the store still names here. */
-    final Set<TaskId> lingering = new HashSet<>();
+    /** The page of the log that names it, once one does. */
+    FleetLog.Page page;
     /** Attempts with a direct start of unknown fate: forgetting them would let it start them again. */
     final Set<Key> unforgettable = new HashSet<>();
     private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
@@ -75,17 +73,6 @@
         idleSinceMicros = nowMicros;
     }
 
-    MachineRecord record() {
-        List<MachineRecord.Entry> entries = new ArrayList<>();
-        for (Assignment assignment : assignments.values()) {
-            entries.add(new MachineRecord.Entry(assignment.task, assignment.attempt, assignment.team,
-                    assignment.takes));
-        }
-        List<MachineRecord.Image> kept = new ArrayList<>();
-        images.forEach((name, gb) -> kept.add(new MachineRecord.Image(name, gb)));
-        return new MachineRecord(id, type.name(), zone, spot, owned, retiring, rentedWallMicros, entries, kept);
-    }
-
     /** What is left once all that may be on the machine is taken off. */
     Resources free() {
         return type.capacity().minus(used);
@@ -126,6 +113,10 @@
         }
     }
 
+    int imageCount() {
+        return images.size();
+    }
+
     void forgetImages() {
         images.clear();
     }
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
-import madderrudder.bookkeeping.MachineRecord;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.Priority;
@@ -25,17 +24,12 @@
     private static final double NEIGHBOUR_S = 0.15;
     private static final double RENTED_S = 1000;
     private static final double STEADY_S = 2;
-    /** Keeps the record of a machine within one stored value. */
-    private static final int ENTRY_BYTES = 110;
-    private static final int HEAD_BYTES = 512;
-    /** A round fills this many transactions at most: more would wait for the store in any case. */
-    private static final int MOST_TRANSACTIONS = 8;
+    /** A round places this many tasks at most, so that it stays short; what is left comes in the next. */
+    private static final int MOST_PLACEMENTS = 400;
 
     private final Cluster cluster;
     private final Policy policy;
     private final long nowMicros;
-    private final int mostPerMachine;
-    private final int mostPlacements;
     private final List<Placement> placements = new ArrayList<>();
     private final Demand demand;
     private final List<Machine> open = new ArrayList<>();
@@ -56,9 +50,6 @@
         this.policy = policy;
         this.demand = demand;
         this.nowMicros = nowMicros;
-        mostPerMachine = Math.max(1, (cluster.deployment.state().valueBytes()
-                - HEAD_BYTES - MachineRecord.IMAGES_BYTES) / ENTRY_BYTES);
-        mostPlacements = MOST_TRANSACTIONS * cluster.deployment.state().transactionWrites();
         room = new Room(cluster);
         long all = 0;
         for (Machine machine : cluster.machines.values()) {
@@ -66,7 +57,7 @@
                 all += machine.type.capacity().milliCpus();
                 long free = machine.type.capacity().milliCpus() - machine.used.milliCpus();
                 freeMilliCpus += free;
-                if (free > 0 && machine.recallMicros < 0 && machine.assignments.size() < mostPerMachine) {
+                if (free > 0 && machine.recallMicros < 0) {
                     open.add(machine);
                 }
             }
@@ -77,7 +68,7 @@
     static List<Placement> plan(Cluster cluster, Policy policy, Demand demand, long nowMicros) {
         Placer placer = new Placer(cluster, policy, demand, nowMicros);
         for (Job job : demand.waiting()) {
-            if (placer.open.isEmpty() || placer.placements.size() >= placer.mostPlacements) {
+            if (placer.open.isEmpty() || placer.placements.size() >= MOST_PLACEMENTS) {
                 break;
             }
             if (job.spec.kind() == Kind.GANG) {
@@ -93,7 +84,7 @@
         PriorityQueue<Candidate> candidates = candidates(job);
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
         for (int task = job.nextWaiting(0);
-                task >= 0 && !candidates.isEmpty() && placements.size() < mostPlacements;
+                task >= 0 && !candidates.isEmpty() && placements.size() < MOST_PLACEMENTS;
                 task = job.nextWaiting(task + 1)) {
             if (!startable(job, task)) {
                 continue;
@@ -106,8 +97,7 @@
     }
 
     private boolean startable(Job job, int task) {
-        return job.ready(task, nowMicros) && !cluster.strayed(job.spec.id(), task)
-                && !cluster.lingers(job.spec.id(), task);
+        return job.ready(task, nowMicros) && !cluster.strayed(job.spec.id(), task);
     }
 
     private boolean waited(Job job, int task) {
@@ -154,8 +144,7 @@
     }
 
     private boolean fits(Job job, Machine machine) {
-        return job.spec.perTask().fits(room.free(machine))
-                && machine.assignments.size() + room.added(machine) < mostPerMachine;
+        return job.spec.perTask().fits(room.free(machine));
     }
 
     /** False if no machine takes the task; a machine stays a candidate for as long as another task fits. */
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -124,7 +124,7 @@
 
     private void progressed(Assignment assignment, Phase phase, long now) {
         if (phase != Phase.FETCHING && assignment.phase != phase && assignment.job != null) {
-            assignment.machine.usedImage(assignment.job.spec.image(), assignment.job.spec.imageGb());
+            fleet.usedImage(assignment.machine, assignment.job.spec);
         }
         if (phase == Phase.RUNNING && assignment.runningMicros < 0) {
             assignment.runningMicros = now;
@@ -162,7 +162,7 @@
         LOG.debug("{} attempt {} exited on {}: {}", task.task(), task.attempt(), machine.id, task.why());
         if (task.why() == Why.DONE) {
             if (job != null) {
-                machine.usedImage(job.spec.image(), job.spec.imageGb());
+                fleet.usedImage(machine, job.spec);
                 if (assignment.runningMicros >= 0 && !assignment.inherited) {
                     term.cluster.ran(job.spec, now - assignment.runningMicros);
                 }
--- a/src/test/java/madderrudder/bookkeeping/RecordsTest.java
+++ b/src/test/java/madderrudder/bookkeeping/RecordsTest.java
@@ -4,9 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import madderrudder.protocol.Json;
 import madderrudder.protocol.MalformedMessage;
@@ -33,26 +34,60 @@
         assertEquals(done, read);
     }
 
+    /** A page keeps within its size whatever is put in, and says again what went in. */
     @Test
-    void machineRecordsComeBack() throws MalformedMessage {
-        MachineRecord record = new MachineRecord("m-000001", "g8", "a", true, false, true, 77, List.of(
-                new MachineRecord.Entry(new TaskId("req-000001", 4), 9, "alto", Resources.of(1.5, 0, 3))),
-                List.of(new MachineRecord.Image("img-1", 1.5)));
-        assertEquals(record, MachineRecord.read("m-000001", Json.readObject(record.render())));
+    void pagesOfTheLogKeepWithinAValueAndComeBack() throws MalformedMessage {
+        SplittableRandom random = new SplittableRandom(7);
+        for (int size : new int[] {2048, 4096, 15 * 1024}) {
+            LogPage.Builder builder = new LogPage.Builder(size);
+            Set<LogPage.MachineEntry> machines = new HashSet<>();
+            Set<LogPage.Entry> placed = new HashSet<>();
+            Set<LogPage.Ended> ended = new HashSet<>();
+            Set<LogPage.Image> images = new HashSet<>();
+            Set<String> gone = new HashSet<>();
+            boolean room = true;
+            for (long i = 1; room; i++) {
+                String machine = String.format("m-%06d", i);
+                TaskId task = new TaskId("req-" + random.nextInt(5), (int) i);
+                Resources takes = new Resources(random.nextLong(1L << 40), 8_000, random.nextLong(1L << 40));
+                LogPage.MachineEntry entry = new LogPage.MachineEntry(machine, new LogPage.Kind("g8",
+                        random.nextBoolean() ? "itä" : "länsi", random.nextBoolean(), true), i << 30, random.nextBoolean());
+                LogPage.Entry at = new LogPage.Entry(task, i << 20, new LogPage.Share("töölö", takes), machine);
+                LogPage.Ended end = new LogPage.Ended(task, i);
+                LogPage.Image image = new LogPage.Image("img-" + random.nextInt(4), 1.5, machine);
+                room = builder.add(entry) && machines.add(entry) && builder.add(at) && placed.add(at)
+                        && builder.add(end) && ended.add(end) && builder.add(image) && images.add(image)
+                        && builder.addGone("n-" + i) && gone.add("n-" + i);
+            }
+            byte[] text = builder.render(77);
+            assertTrue(text.length <= size, text.length + " bytes of " + size);
+            LogPage read = LogPage.read(Json.readObject(text));
+            assertEquals(77, read.number());
+            assertEquals(machines, Set.copyOf(read.machines()));
+            assertEquals(placed, Set.copyOf(read.placed()));
+            assertEquals(ended, Set.copyOf(read.ended()));
+            assertEquals(images, Set.copyOf(read.images()));
+            assertEquals(gone, Set.copyOf(read.gone()));
+            assertTrue(placed.size() > size / 1024, "only " + placed.size() + " in " + size);
+        }
     }
 
-    /** A machine that has kept many images must not outgrow what one value may hold: the newest are written. */
+    /** Later pages have the last word, wherever they lie; what was on a machine that has gone has gone. */
     @Test
-    void theNewestImagesOfAMachineAreKept() throws MalformedMessage {
-        List<MachineRecord.Image> many = new ArrayList<>();
-        for (int i = 0; i < 500; i++) {
-            many.add(new MachineRecord.Image("img-" + i, 1.25));
-        }
-        byte[] text = new MachineRecord("m-1", "g8", "a", true, false, true, 77, List.of(), many).render();
-        assertTrue(text.length < MachineRecord.IMAGES_BYTES + 512);
-        List<MachineRecord.Image> kept = MachineRecord.read("m-1", Json.readObject(text)).images();
-        assertTrue(kept.size() > 20);
-        assertEquals(many.subList(500 - kept.size(), 500), kept);
+    void pagesAreReadInTheOrderOfTheirNumbers() {
+        LogPage.Kind kind = new LogPage.Kind("g8", "a", false, true);
+        LogPage.Share share = new LogPage.Share("alto", Resources.of(1, 0, 1));
+        TaskId first = new TaskId("req-000001", 0);
+        TaskId second = new TaskId("req-000001", 1);
+        LogPage.Entry again = new LogPage.Entry(first, 2, share, "m-2");
+        LogReading reading = LogReading.of(List.of(
+                new LogPage(9, List.of(), List.of("m-3"), List.of(again), List.of(new LogPage.Ended(first, 1)), List.of()),
+                new LogPage(4, List.of(new LogPage.MachineEntry("m-1", kind, 5, false),
+                        new LogPage.MachineEntry("m-2", kind, 5, false), new LogPage.MachineEntry("m-3", kind, 5, false)),
+                        List.of(), List.of(new LogPage.Entry(first, 1, share, "m-1"),
+                        new LogPage.Entry(second, 3, share, "m-3")), List.of(), List.of())));
+        assertEquals(List.of(again), List.copyOf(reading.placed()));
+        assertEquals(List.of("m-1", "m-2"), reading.machines().stream().map(LogPage.MachineEntry::id).toList());
     }
 
     /** The count survives a take-over by a node whose clock differs by all that is allowed. */
--- a/src/test/java/madderrudder/sim/Rules.java
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import madderrudder.coordination.Deployment;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Resources;
@@ -27,6 +28,8 @@
     private final Deque<Doomed> doomed = new ArrayDeque<>();
     final List<String> broken = new ArrayList<>();
     int starts;
+    /** Where the store's log names a task: a start must be found there by whoever leads next. */
+    Function<TaskId, String> placeOf = task -> null;
 
     /** A task of a cancelled job, and when it must be gone. */
     private record Doomed(TaskId task, long byMicros) {
@@ -64,6 +67,10 @@
         if (other != null && other != machine) {
             breaks("ran_twice", task + " on " + machine.id + " while on " + other.id);
         }
+        String named = placeOf.apply(task);
+        if (!machine.id.equals(named)) {
+            breaks("not_written_ahead", task + " starts on " + machine.id + ", and the log names " + named);
+        }
         JobSpec job = submitted.get(task.job());
         if (job.types() != null && !job.types().contains(machine.type)
                 || job.zone() != null && !job.zone().equals(machine.zone) || machine.spot && !job.spotAllowed()) {
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -8,9 +8,12 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import madderrudder.bookkeeping.LogPage;
+import madderrudder.bookkeeping.LogReading;
 import madderrudder.protocol.Fields;
 import madderrudder.protocol.Json;
 import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.TaskId;
 import madderrudder.transport.HttpExchange;
 import madderrudder.transport.HttpRequest;
 import madderrudder.transport.HttpResponse;
@@ -25,8 +28,9 @@
     private final Map<Long, Hold> holds = new HashMap<>();
     private final List<Runnable> watches = new ArrayList<>();
     private final Set<String> refused = new HashSet<>();
-    /** Which machine's record names a task; two at once would let a new leader start it twice. */
-    private final Map<String, String> named = new HashMap<>();
+    private final Map<String, LogPage> pages = new HashMap<>();
+    /** Where the log names a task; at two machines at once, a new leader could start it twice. */
+    private final Map<TaskId, String> named = new HashMap<>();
     final List<String> broken = new ArrayList<>();
     private long revision = 100;
     private long nextHold = 1;
@@ -174,7 +178,7 @@
             return;
         }
         revision++;
-        checkRecords(writes);
+        readLog(writes);
         for (Fields write : writes) {
             if (write.has("drop")) {
                 change(write.text("drop"), null, 0);
@@ -190,26 +194,31 @@
         wake();
     }
 
-    private void checkRecords(List<Fields> writes) throws MalformedMessage {
+    private void readLog(List<Fields> writes) throws MalformedMessage {
+        boolean turned = false;
         for (Fields write : writes) {
-            String key = write.text("write", write.text("drop", ""));
-            if (key.startsWith("m/")) {
-                named.values().removeIf(key::equals);
+            String key = write.text("write", "");
+            if (key.startsWith("s/")) {
+                pages.put(key, LogPage.read(write.object("data")));
+                turned = true;
             }
         }
-        for (Fields write : writes) {
-            String key = write.text("write", "");
-            if (key.startsWith("m/")) {
-                for (Fields entry : write.object("data").objects("entries")) {
-                    String other = named.put(entry.text("t"), key);
-                    if (other != null) {
-                        broken.add(entry.text("t") + " is named by " + other + " and by " + key);
-                    }
+        if (turned) {
+            named.clear();
+            for (LogPage.Entry entry : LogReading.of(pages.values()).placed()) {
+                String other = named.put(entry.task(), entry.machine());
+                if (other != null) {
+                    broken.add(entry.task() + " is named on " + other + " and on " + entry.machine());
                 }
             }
         }
     }
 
+    /** On which machine the log names the task, or null. */
+    String placeOf(TaskId task) {
+        return named.get(task);
+    }
+
     private void get(String key, Consumer<HttpResponse> answer) {
         Entry entry = keys.get(key);
         if (entry == null) {
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -61,6 +61,7 @@
         net = new SimNet(sim, 0.0005);
         rules = new Rules(sim, deployment);
         store = new SimStore(sim, 24, 16 * 1024);
+        rules.placeOf = store::placeOf;
         for (int i = 0; i < 3; i++) {
             addresses.put("node-" + i, "10.0.0." + (i + 1) + ":8080");
         }
