--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -3,7 +3,7 @@
 (madderrudder
   (threshold-s 0.25)      ; a task that finds owned room full is held for this long
   (poll-s 0.5)            ; held tasks are looked at again this often
-  (budget 1000)           ; counted rentals ...
+  (budget 4000)           ; counted rentals ...
   (budget-window-s 300)   ; ... within this time
   (idle-s 20)             ; an idle rented machine goes back after this long
   (spot always)           ; which rentals may be of the cheap kind: never, uncounted, always
--- a/src/main/java/madderrudder/coordination/Cluster.java
+++ b/src/main/java/madderrudder/coordination/Cluster.java
@@ -140,6 +140,20 @@
         return false;
     }
 
+    /** Whether the machines, if they were empty, had room for all tasks of the gang that wait. */
+    boolean couldHold(Job gang, Iterable<Machine> machines) {
+        long lacking = gang.waitingCount();
+        for (Machine machine : machines) {
+            if (lacking <= 0) {
+                break;
+            }
+            if (allowed(gang, machine)) {
+                lacking -= gang.spec.perTask().timesIn(machine.type.capacity());
+            }
+        }
+        return lacking <= 0;
+    }
+
     /** Type, zone and kind suit the job, given where its other tasks may be. */
     boolean allowed(Job job, Machine machine) {
         JobSpec spec = job.spec;
--- a/src/main/java/madderrudder/coordination/Job.java
+++ b/src/main/java/madderrudder/coordination/Job.java
@@ -73,6 +73,15 @@
         }
     }
 
+    /**
+     * A gang may be placed, or what it lacks while it gathers. One that ran, or is being stopped, first has to go
+     * as a whole.
+     */
+    boolean gangGathers() {
+        return assignments.isEmpty() || !gangRan && gangAttempt != 0
+                && assignments.stream().noneMatch(a -> a.unwanted || a.completed);
+    }
+
     /** The first task from the index on that is neither done nor held, or -1. */
     int nextWaiting(int from) {
         int index = from;
--- a/src/main/java/madderrudder/coordination/Machine.java
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -78,6 +78,22 @@
         return type.capacity().minus(used);
     }
 
+    /** Something on it is being stopped. */
+    boolean stopping() {
+        return assignments.values().stream().anyMatch(a -> a.unwanted && !a.completed);
+    }
+
+    /** What is left once all that is being stopped has gone too. */
+    Resources freeSoon() {
+        Resources free = free();
+        for (Assignment assignment : assignments.values()) {
+            if (assignment.unwanted && !assignment.completed) {
+                free = free.plus(assignment.takes);
+            }
+        }
+        return free;
+    }
+
     boolean empty() {
         return assignments.isEmpty() && strays.isEmpty();
     }
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -32,7 +32,9 @@
     private final long nowMicros;
     private final List<Placement> placements = new ArrayList<>();
     private final Demand demand;
+    private final List<Machine> usable = new ArrayList<>();
     private final List<Machine> open = new ArrayList<>();
+    private final List<Machine> freeing = new ArrayList<>();
     private final long keptMilliCpus;
     private long freeMilliCpus;
     private Room room;
@@ -57,8 +59,14 @@
                 all += machine.type.capacity().milliCpus();
                 long free = machine.type.capacity().milliCpus() - machine.used.milliCpus();
                 freeMilliCpus += free;
-                if (free > 0 && machine.recallMicros < 0) {
-                    open.add(machine);
+                if (machine.recallMicros < 0) {
+                    usable.add(machine);
+                    if (machine.stopping()) {
+                        freeing.add(machine);
+                    }
+                    if (free > 0) {
+                        open.add(machine);
+                    }
                 }
             }
         }
@@ -110,10 +118,13 @@
                 && freeMilliCpus - job.spec.perTask().milliCpus() < keptMilliCpus;
     }
 
-    /** All tasks or none; a gang that still gathers gets what it lacks, under the attempt it has. */
+    /**
+     * All tasks or none; a gang that still gathers gets what it lacks, under the attempt it has. What there is for
+     * one that lacks room is kept for it in this round, with what is about to come free: whatever comes after it
+     * would otherwise refill, task by task, each whole machine that it waits for.
+     */
     private void planGang(Job job) {
-        if (!job.assignments.isEmpty() && (job.gangRan || job.gangAttempt == 0
-                || job.assignments.stream().anyMatch(a -> a.unwanted || a.completed))) {
+        if (!job.gangGathers()) {
             return;
         }
         Room before = room.copy();
@@ -122,16 +133,36 @@
         PriorityQueue<Candidate> candidates = candidates(job);
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
         for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
-            if (!startable(job, task) || !room.teamAllows(job)
-                    || !place(job, task, candidates, !ownedFits || waited(job, task), job.gangAttempt)) {
+            boolean may = startable(job, task) && room.teamAllows(job);
+            if (!may || !place(job, task, candidates, !ownedFits || waited(job, task), job.gangAttempt)) {
+                List<Placement> found = placements.subList(placed, placements.size());
                 room = before;
                 freeMilliCpus = freeBefore;
-                placements.subList(placed, placements.size()).clear();
+                if (may) {
+                    keep(job, found);
+                }
+                found.clear();
                 return;
             }
         }
     }
 
+    /** Nothing is kept for a gang that these machines could not hold even if they were empty. */
+    private void keep(Job job, List<Placement> found) {
+        if (!cluster.couldHold(job, usable)) {
+            return;
+        }
+        int lacking = job.waitingCount() - found.size();
+        found.forEach(placement -> room.keep(placement.machine()));
+        for (Machine machine : freeing) {
+            if (lacking > 0 && !room.kept(machine) && cluster.allowed(job, machine)
+                    && job.spec.perTask().fits(machine.freeSoon())) {
+                room.keep(machine);
+                lacking--;
+            }
+        }
+    }
+
     /** The machines that could take a task of the job now, owned ones first. */
     private PriorityQueue<Candidate> candidates(Job job) {
         PriorityQueue<Candidate> candidates = new PriorityQueue<>();
--- a/src/main/java/madderrudder/coordination/Preemption.java
+++ b/src/main/java/madderrudder/coordination/Preemption.java
@@ -56,51 +56,98 @@
         Room room = new Room(cluster);
         for (Job job : demand.waiting()) {
             boolean mayStopAnything = job.spec.priority() == Priority.PRODUCTION || demand.guaranteed().contains(job);
-            if (mayStopAnything && job.spec.kind() != Kind.GANG && !job.faulty() && job.nextWaiting(0) >= 0) {
-                preemption.makeRoom(job, room);
+            if (mayStopAnything && !job.faulty() && job.nextWaiting(0) >= 0) {
+                if (job.spec.kind() == Kind.GANG) {
+                    preemption.makeRoomForGang(job, room);
+                } else {
+                    preemption.new Making(job, room).forEach();
+                }
             }
         }
         return preemption.victims;
     }
 
+    /**
+     * A gang starts with all its tasks or not at all: unless room for all that wait can be made, nothing is stopped
+     * for it. The placer keeps what is stopped here for the gang.
+     */
+    private void makeRoomForGang(Job job, Room room) {
+        if (!job.gangGathers()) {
+            return;
+        }
+        Making making = new Making(job, room.copy());
+        Map<Machine, Resources> comingBefore = new HashMap<>(coming);
+        Map<String, Resources> usageBefore = new HashMap<>(usage);
+        Set<Assignment> victimsBefore = new LinkedHashSet<>(victims);
+        if (making.forEach() < job.waitingCount()) {
+            coming.clear();
+            coming.putAll(comingBefore);
+            usage.clear();
+            usage.putAll(usageBefore);
+            victims.clear();
+            victims.addAll(victimsBefore);
+        } else {
+            making.chosen.forEach(machine -> room.count(job, machine.zone));
+        }
+    }
+
     /** Each machine is looked at once for the job, and again only after something was stopped on it. */
-    private void makeRoom(Job job, Room room) {
-        boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
-        PriorityQueue<Option> owned = new PriorityQueue<>();
-        PriorityQueue<Option> rented = new PriorityQueue<>();
-        for (Machine machine : usable) {
-            if (cluster.allowed(job, machine) && job.spec.perTask().fits(machine.type.capacity())) {
-                offer(job, machine, machine.owned ? owned : rented);
+    private final class Making {
+        private final Job job;
+        private final Room room;
+        private final boolean ownedFits;
+        private final PriorityQueue<Option> owned = new PriorityQueue<>();
+        private final PriorityQueue<Option> rented = new PriorityQueue<>();
+        private final List<Machine> chosen = new ArrayList<>();
+
+        Making(Job job, Room room) {
+            this.job = job;
+            this.room = room;
+            ownedFits = cluster.ownedCouldFit(job, nowMicros);
+            for (Machine machine : usable) {
+                if (cluster.allowed(job, machine) && job.spec.perTask().fits(machine.type.capacity())) {
+                    offer(job, machine, machine.owned ? owned : rented);
+                }
             }
         }
-        for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
-            if (owned.isEmpty() && rented.isEmpty() || !room.teamAllows(job)) {
-                return;
-            }
-            if (!job.ready(task, nowMicros)) {
-                continue;
+
+        /** Makes room for each task that waits, as far as there is any; for how many. */
+        int forEach() {
+            for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
+                if (owned.isEmpty() && rented.isEmpty() || !room.teamAllows(job)) {
+                    break;
+                }
+                if (job.ready(task, nowMicros)) {
+                    makeRoom(task);
+                }
             }
+            return chosen.size();
+        }
+
+        private void makeRoom(int task) {
             // Room on a machine that the task may not use yet would go to another, and be made again and again.
-            boolean rentedToo = !ownedFits || nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
+            boolean rentedToo = !ownedFits
+                    || nowMicros - job.waitingSinceMicros(task) >= policy.thresholdMicros();
             Option fromOwned = cheapest(job, owned, room);
             Option fromRented = rentedToo ? cheapest(job, rented, room) : null;
             boolean useOwned = fromOwned != null
                     && (fromRented == null || fromOwned.loss() <= fromRented.loss());
-            Option chosen = useOwned ? fromOwned : fromRented;
-            if (chosen == null) {
-                continue;
+            Option option = useOwned ? fromOwned : fromRented;
+            if (option == null) {
+                return;
             }
             PriorityQueue<Option> queue = useOwned ? owned : rented;
             queue.poll();
-            Resources freed = free(chosen.machine());
-            for (Assignment victim : chosen.stops()) {
+            Resources freed = free(option.machine());
+            for (Assignment victim : option.stops()) {
                 victims.add(victim);
                 freed = freed.plus(victim.takes);
                 usage.merge(victim.team, victim.takes, Resources::minus);
             }
-            coming.put(chosen.machine(), freed.minus(job.spec.perTask()));
-            room.count(job, chosen.machine().zone);
-            offer(job, chosen.machine(), queue);
+            coming.put(option.machine(), freed.minus(job.spec.perTask()));
+            room.count(job, option.machine().zone);
+            chosen.add(option.machine());
+            offer(job, option.machine(), queue);
         }
     }
 
@@ -113,7 +160,8 @@
 
     /** Room is made in a hurry: where the image has to be fetched first, it is worth less. */
     private static double fetching(Job job, Machine machine) {
-        return job.spec.priority() != Priority.PRODUCTION || machine.hasImage(job.spec.image()) ? 0
+        boolean hurried = job.spec.priority() == Priority.PRODUCTION || job.spec.kind() == Kind.GANG;
+        return !hurried || machine.hasImage(job.spec.image()) ? 0
                 : FETCH_WEIGHT * job.spec.imageGb() / machine.type.fetchGbPerS();
     }
 
@@ -135,15 +183,7 @@
 
     /** Free room of the machine once everything that is being stopped has gone. */
     private Resources free(Machine machine) {
-        return coming.computeIfAbsent(machine, m -> {
-            Resources free = m.free();
-            for (Assignment assignment : m.assignments.values()) {
-                if (assignment.unwanted && !assignment.completed) {
-                    free = free.plus(assignment.takes);
-                }
-            }
-            return free;
-        });
+        return coming.computeIfAbsent(machine, Machine::freeSoon);
     }
 
     /** The cheapest stops that make the task fit; empty if it will fit anyway, null if none do. */
--- a/src/main/java/madderrudder/coordination/RentalPlanner.java
+++ b/src/main/java/madderrudder/coordination/RentalPlanner.java
@@ -250,7 +250,7 @@
         Rental best = null;
         double bestCost = Double.MAX_VALUE;
         for (MachineType type : cluster.types.values()) {
-            int fit = fit(job.spec.perTask(), type.capacity());
+            long fit = job.spec.perTask().timesIn(type.capacity());
             if (fit == 0) {
                 continue;
             }
@@ -295,18 +295,4 @@
         Rental so = rentals.get(new RentalKey(rental.shelf(), rental.counted()));
         return so == null ? 0 : so.count();
     }
-
-    private static int fit(Resources need, Resources capacity) {
-        long fit = Integer.MAX_VALUE;
-        if (need.milliCpus() > 0) {
-            fit = Math.min(fit, capacity.milliCpus() / need.milliCpus());
-        }
-        if (need.milliGpus() > 0) {
-            fit = Math.min(fit, capacity.milliGpus() / need.milliGpus());
-        }
-        if (need.memoryMb() > 0) {
-            fit = Math.min(fit, capacity.memoryMb() / need.memoryMb());
-        }
-        return (int) fit;
-    }
 }
--- a/src/main/java/madderrudder/coordination/Room.java
+++ b/src/main/java/madderrudder/coordination/Room.java
@@ -11,8 +11,8 @@
     private final Map<Job, Map<String, Integer>> zones = new HashMap<>();
     private final Map<String, Resources> usage;
 
-    /** What is left of a machine, the tasks it was given in this round, and how many of them are of the last job. */
-    private record Taken(Resources free, int added, Job last, int addedOfLast) {
+    /** What is left of a machine, and how many tasks of the last job it was given in this round. */
+    private record Taken(Resources free, Job last, int addedOfLast) {
     }
 
     Room(Cluster cluster) {
@@ -36,17 +36,21 @@
         return so == null ? machine.free() : so.free();
     }
 
-    int added(Machine machine) {
-        Taken so = taken.get(machine);
-        return so == null ? 0 : so.added();
-    }
-
     /** How many tasks of the job, which is the one being planned, the machine was given. */
     int added(Job job, Machine machine) {
         Taken so = taken.get(machine);
         return so == null || so.last() != job ? 0 : so.addedOfLast();
     }
 
+    /** Nothing more goes to the machine in this round. */
+    void keep(Machine machine) {
+        taken.put(machine, new Taken(Resources.NONE, null, 0));
+    }
+
+    boolean kept(Machine machine) {
+        return taken.containsKey(machine) && taken.get(machine).free().isNone();
+    }
+
     Resources usage(String team) {
         return usage.getOrDefault(team, Resources.NONE);
     }
@@ -68,8 +72,7 @@
     }
 
     void take(Job job, Machine machine) {
-        taken.put(machine, new Taken(free(machine).minus(job.spec.perTask()), added(machine) + 1, job,
-                added(job, machine) + 1));
+        taken.put(machine, new Taken(free(machine).minus(job.spec.perTask()), job, added(job, machine) + 1));
         count(job, machine.zone);
     }
 
--- a/src/main/java/madderrudder/protocol/Resources.java
+++ b/src/main/java/madderrudder/protocol/Resources.java
@@ -24,6 +24,16 @@
         return milliCpus <= room.milliCpus && milliGpus <= room.milliGpus && memoryMb <= room.memoryMb;
     }
 
+    /** How often this amount fits into the room. */
+    public long timesIn(Resources room) {
+        return Math.min(times(milliCpus, room.milliCpus),
+                Math.min(times(milliGpus, room.milliGpus), times(memoryMb, room.memoryMb)));
+    }
+
+    private static long times(long need, long room) {
+        return need == 0 ? Integer.MAX_VALUE : room / need;
+    }
+
     public boolean isNone() {
         return milliCpus == 0 && milliGpus == 0 && memoryMb == 0;
     }
