Gangs get room made for them, all or none, and kept; users get the writes the leader leaves over

Now: what there is for a gang that lacks room is kept in that round, with what is about to come free; for a gang within its guarantee exactly as much is stopped as it lacks, where least is lost, or nothing. The leader tells in its pulses what it leaves over of its write rate, and the nodes share that for two seconds.

--- a/src/main/java/madderrudder/bookkeeping/Journal.java
+++ b/src/main/java/madderrudder/bookkeeping/Journal.java
@@ -33,6 +33,10 @@
     private static final int MOST_BYTES = 48 * 1024;
     private static final int HEAD_BYTES = 512;
     private static final int LATER_PART = 8;
+    /** How quickly the rate last used is forgotten, and how much more than that is kept back. */
+    private static final double RECENT_WEIGHT = 0.3;
+    private static final double KEPT_FACTOR = 1.3;
+    private static final double LENT_SHARE = 0.9;
 
     private final Scheduler scheduler;
     private final StoreClient store;
@@ -42,6 +46,8 @@
     private final long spacingMicros;
     private final double scarce;
     private final Pace pace;
+    private final double writesPerSecond;
+    private double recentPerSecond;
     private final Runnable onLost;
     private final Map<Lane, Map<String, Change>> lanes = new EnumMap<>(Lane.class);
     private long helmVersion;
@@ -75,6 +81,7 @@
         this.mostWrites = mostWrites;
         spacingMicros = (long) (HELM_SHARE * 1e6 / writesPerSecond);
         scarce = writesPerSecond / 2;
+        this.writesPerSecond = writesPerSecond;
         pace = new Pace(scheduler, writesPerSecond, writesPerSecond);
         this.onLost = onLost;
         for (Lane lane : Lane.values()) {
@@ -139,6 +146,17 @@
         });
     }
 
+    /**
+     * What the leader is likely to leave over of its write rate in the next second, judged by the time since the last
+     * look. Nothing, while more waits than one transaction takes.
+     */
+    public double spareWritesPerSecond(long sinceMicros) {
+        double perSecond = pace.takeSpent() * 1e6 / Math.max(1, sinceMicros);
+        recentPerSecond += RECENT_WEIGHT * (perSecond - recentPerSecond);
+        return backlog() > mostWrites ? 0
+                : Math.max(0, LENT_SHARE * writesPerSecond - KEPT_FACTOR * recentPerSecond);
+    }
+
     public int backlog() {
         return lanes.values().stream().mapToInt(Map::size).sum();
     }
--- a/src/main/java/madderrudder/bookkeeping/Pace.java
+++ b/src/main/java/madderrudder/bookkeeping/Pace.java
@@ -13,11 +13,12 @@
     private static final long LEAST_WAIT_MICROS = 1_000;
 
     private final Scheduler scheduler;
-    private final double perMicro;
+    private double perMicro;
     private final double burst;
     private final Deque<Waiting> queue = new ArrayDeque<>();
     private double tokens;
     private double queuedCost;
+    private double spent;
     private long filledMicros;
     private boolean pumping;
 
@@ -49,6 +50,19 @@
         return queuedCost + cost - tokens <= mostWaitMicros * perMicro && run(cost, go);
     }
 
+    /** From now on the rate is this. */
+    public void rate(double perSecond) {
+        fill();
+        perMicro = perSecond / 1e6;
+    }
+
+    /** What has been spent since the last look. */
+    public double takeSpent() {
+        double since = spent;
+        spent = 0;
+        return since;
+    }
+
     /** What may be spent at this moment. */
     public double left() {
         fill();
@@ -65,6 +79,7 @@
             Waiting next = queue.pollFirst();
             tokens -= next.cost();
             queuedCost -= next.cost();
+            spent += next.cost();
             next.go().run();
         }
         pumping = false;
--- a/src/main/java/madderrudder/bookkeeping/StoreClient.java
+++ b/src/main/java/madderrudder/bookkeeping/StoreClient.java
@@ -33,6 +33,7 @@
     private final String address;
     private final Pace requests;
     private final Pace writes;
+    private final double ownWritesPerSecond;
     private long lastOkMicros = Long.MIN_VALUE / 2;
 
     /** Turns the body of a 200 into a value. */
@@ -46,6 +47,7 @@
         this.calls = calls;
         this.address = address;
         requests = new Pace(scheduler, requestsPerSecond, requestsPerSecond);
+        ownWritesPerSecond = writesPerSecond;
         // Users come in bursts, which the store's own burst bears.
         writes = new Pace(scheduler, writesPerSecond, BURST_SECONDS * writesPerSecond);
     }
@@ -55,6 +57,11 @@
         return lastOkMicros;
     }
 
+    /** Users may have so many writes a second more than this node's own share, until this is said anew. */
+    public void spareWrites(double perSecond) {
+        writes.rate(ownWritesPerSecond + perSecond);
+    }
+
     public void get(String key, Consumer<StoreReply<Item>> answer) {
         ordinary(HttpRequest.get("/store/" + key), StoreCodec::readItem, answer);
     }
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -330,6 +330,11 @@
         return some;
     }
 
+    /** What this leader leaves over of its writes a second, for users. */
+    public double spareWritesPerSecond(long sinceMicros) {
+        return ready ? term.journal.spareWritesPerSecond(sinceMicros) : 0;
+    }
+
     public long number() {
         return term.number;
     }
--- a/src/main/java/madderrudder/protocol/MeshFrame.java
+++ b/src/main/java/madderrudder/protocol/MeshFrame.java
@@ -14,8 +14,12 @@
     int MAX_BYTES = 64 * 1024;
     int PREFIX_BYTES = 4;
 
-    /** A sign of life: the highest term heard of, who leads it, and whether the store answers here. */
-    record Pulse(String member, long term, String leader, boolean storeAnswers) implements MeshFrame {
+    /**
+     * A sign of life: the highest term heard of, who leads it, whether the store answers here, and how many thousandths
+     * of a write a second the sender leaves over for users, if it leads.
+     */
+    record Pulse(String member, long term, String leader, boolean storeAnswers, int spareMilliWrites)
+            implements MeshFrame {
     }
 
     /** How far jobs have come, for display by nodes that don't lead. */
@@ -38,7 +42,7 @@
             putText(out, pulse.member());
             out.putLong(pulse.term());
             putText(out, pulse.leader());
-            out.put((byte) (pulse.storeAnswers() ? 1 : 0));
+            out.put((byte) (pulse.storeAnswers() ? 1 : 0)).putInt(pulse.spareMilliWrites());
         } else if (frame instanceof Progress progress) {
             out.putLong(progress.term()).putInt(progress.jobs().size());
             for (JobProgress job : progress.jobs()) {
@@ -54,7 +58,7 @@
     static MeshFrame decode(ByteBuffer in) throws MalformedMessage {
         try {
             MeshFrame frame = switch (in.get()) {
-                case 1 -> new Pulse(text(in), in.getLong(), text(in), in.get() != 0);
+                case 1 -> new Pulse(text(in), in.getLong(), text(in), in.get() != 0, in.getInt());
                 case 2 -> progress(in);
                 default -> throw new MalformedMessage("unknown mesh frame");
             };
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -72,6 +72,7 @@
     private final Set<Homeless> homeless = new LinkedHashSet<>();
     private final Metrics metrics = new Metrics();
     private long lastPulseMicros = -1;
+    private long lentUntilMicros;
     private Leader leader;
     private int pulses;
     private boolean malformedLogged;
@@ -141,18 +142,29 @@
 
     private void pulse() {
         long now = scheduler.nowMicros();
-        if (lastPulseMicros >= 0) {
-            metrics.record(Timing.LOOP_DELAY, now - lastPulseMicros - PULSE_MICROS);
-        }
+        long sinceMicros = lastPulseMicros < 0 ? PULSE_MICROS : now - lastPulseMicros;
+        metrics.record(Timing.LOOP_DELAY, sinceMicros - PULSE_MICROS);
         lastPulseMicros = now;
         String name = election.leader();
+        double spare = leader == null ? 0 : leader.spareWritesPerSecond(sinceMicros);
         peers.broadcast(MeshFrame.encode(new MeshFrame.Pulse(settings.member(), election.highestTerm(),
-                name == null ? "" : name, storeAnswers())));
+                name == null ? "" : name, storeAnswers(), (int) (1000 * spare))));
+        if (leader != null) {
+            lend(spare);
+        } else if (now > lentUntilMicros) {
+            lend(0);
+        }
         if (leader != null && leader.ready() && ++pulses % PULSES_PER_PROGRESS == 0) {
             peers.broadcast(MeshFrame.encode(new MeshFrame.Progress(leader.number(), leader.someProgress())));
         }
     }
 
+    /** What the leader doesn't need is shared out alike, for as long as it says so. */
+    private void lend(double spareWrites) {
+        lentUntilMicros = scheduler.nowMicros() + PEER_SILENT_MICROS;
+        store.spareWrites(spareWrites / settings.deployment().members());
+    }
+
     /** A frame from another controller. */
     public void frame(ByteBuffer bytes) {
         try {
@@ -160,6 +172,9 @@
             if (frame instanceof MeshFrame.Pulse pulse) {
                 heard.put(pulse.member(), new Heard(pulse.storeAnswers(), scheduler.nowMicros()));
                 election.heard(pulse.term(), pulse.leader());
+                if (leader == null && pulse.member().equals(election.leader())) {
+                    lend(pulse.spareMilliWrites() / 1000.0);
+                }
                 if (leader != null && pulse.term() >= leader.number()) {
                     leader.standsBack(pulse.member());
                 }
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -27,7 +27,8 @@
 
     private final Map<String, Team> teams = Map.of(
             "alto", new Team("alto", Resources.of(8, 0, 0), Resources.of(16, 0, 0)),
-            "basso", new Team("basso", Resources.of(4, 0, 0), Resources.of(16, 0, 0)));
+            "basso", new Team("basso", Resources.of(4, 0, 0), Resources.of(16, 0, 0)),
+            "canto", new Team("canto", Resources.of(16, 0, 0), Resources.of(16, 0, 0)));
     private final Cluster cluster = cluster(Objectives.none());
     private long attempts;
 
@@ -199,6 +200,65 @@
         assertEquals(1, Preemption.plan(cluster, POLICY, Demand.of(cluster, 0), 21 * SECOND).size());
     }
 
+    private static Policy at(long thresholdMicros) {
+        return new Policy(thresholdMicros, SECOND, 10, 300 * SECOND, 60 * SECOND, Policy.SpotMode.UNCOUNTED, 3 * SECOND, 0, 0);
+    }
+
+    /** Small tasks once refilled every machine that came free, and a gang of whole machines never found enough. */
+    @Test
+    void whatThereIsForAGangIsKeptUntilItHasAllOfIt() {
+        Machine free = machine("m-0", "east", true);
+        Machine partly = machine("m-1", "east", true);
+        Job small = job("req-1", "basso", Kind.ARRAY, Priority.LOW, 9, 1, false);
+        Assignment going = put(small, 0, partly);
+        Job gang = job("req-2", "alto", Kind.GANG, Priority.HIGH, 2, 4, false);
+        // Until the other machine is being emptied for it, the gang lacks one; the free one is kept.
+        assertEquals(List.of(partly, partly, partly),
+                Placer.plan(cluster, at(0), Demand.of(cluster, 0), SECOND).stream().map(Placement::machine).toList());
+        going.unwanted = true;
+        assertEquals(List.of(), Placer.plan(cluster, at(0), Demand.of(cluster, 0), SECOND));
+        cluster.release(going, SECOND);
+        List<Placement> placed = Placer.plan(cluster, at(0), Demand.of(cluster, 0), SECOND);
+        assertEquals(Set.of(free, partly), Set.copyOf(placed.stream().map(Placement::machine).toList()));
+        assertTrue(placed.stream().allMatch(placement -> placement.job() == gang));
+    }
+
+    /** One that no machines there could hold, even empty, must not hold up what can run. */
+    @Test
+    void nothingIsKeptForAGangThatCannotBeHeld() {
+        machine("m-0", "east", true);
+        job("req-1", "alto", Kind.GANG, Priority.HIGH, 2, 4, false);
+        Job small = job("req-2", "basso", Kind.ARRAY, Priority.LOW, 4, 1, false);
+        assertTrue(Placer.plan(cluster, at(0), Demand.of(cluster, 0), SECOND).stream()
+                .allMatch(placement -> placement.job() == small));
+        assertEquals(4, Placer.plan(cluster, at(0), Demand.of(cluster, 0), SECOND).size());
+    }
+
+    /** All the room that a gang lacks is made, where least is lost, or none. */
+    @Test
+    void roomForAGangIsMadeAllOrNone() {
+        Machine light = machine("m-0", "east", true);
+        Machine heavy = machine("m-1", "east", true);
+        Machine other = machine("m-2", "west", true);
+        Job batch = job("req-1", "basso", Kind.ARRAY, Priority.LOW, 9, 2, false);
+        Assignment cheap = put(batch, 0, light);
+        put(batch, 1, heavy);
+        put(batch, 2, heavy);
+        Assignment alone = put(batch, 3, other);
+        Job running = job("req-2", "alto", Kind.GANG, Priority.LOW, 1, 2, false);
+        Assignment member = put(running, 0, other);
+        job("req-3", "alto", Kind.GANG, Priority.HIGH, 1, 4, false);
+        assertEquals(Set.of(cheap), Preemption.plan(cluster, at(0), Demand.of(cluster, 0), SECOND));
+        cluster.jobs.remove("req-3");
+        // A machine with a gang's task on it is never emptied, so a gang of three finds only two.
+        Job three = job("req-4", "canto", Kind.GANG, Priority.HIGH, 3, 4, false);
+        assertEquals(Set.of(), Preemption.plan(cluster, at(0), Demand.of(cluster, 0), SECOND));
+        cluster.release(member, SECOND);
+        cluster.jobs.remove("req-2");
+        assertTrue(Preemption.plan(cluster, at(0), Demand.of(cluster, 0), SECOND).containsAll(Set.of(cheap, alone)));
+        assertEquals(0, three.assignments.size());
+    }
+
     /** Counts how often the planners look at a machine for a job. */
     private static final class CountingCluster extends Cluster {
         private long looks;
