--- a/src/main/java/madderrudder/bookkeeping/LogPage.java
+++ b/src/main/java/madderrudder/bookkeeping/LogPage.java
@@ -39,8 +39,11 @@
     public record Share(String team, Resources takes) {
     }
 
-    /** The attempt is surely not on its machine any more. */
-    public record Ended(TaskId task, long attempt) {
+    /**
+     * The attempt is surely not on the machine any more. Without the machine it would be ambiguous: a task that a
+     * gathering gang has lost is replaced under the same attempt.
+     */
+    public record Ended(TaskId task, long attempt, String machine) {
     }
 
     /** An image that the machine has kept: a help only, a new leader places better if it knows. */
@@ -114,7 +117,8 @@
         }
 
         public boolean add(Ended end) {
-            return put(ended, end.task().job(), end.task().job().length(), end.task().index() + " " + end.attempt());
+            return put(ended, end.task().job(), end.task().job().length(),
+                    end.task().index() + " " + end.attempt() + " " + end.machine());
         }
 
         public boolean add(Image image) {
@@ -189,11 +193,8 @@
             Share share = new Share(group.text("w"),
                     new Resources(group.count("c"), group.count("g"), group.count("m")));
             for (String item : group.texts("of")) {
-                String[] parts = item.split(" ");
-                if (parts.length != 3) {
-                    throw new MalformedMessage("not a placement: " + item);
-                }
-                placed.add(new Entry(new TaskId(job, (int) number(parts, 0)), number(parts, 1), share, parts[2]));
+                String[] parts = item.split(" ", 3);
+                placed.add(new Entry(new TaskId(job, (int) number(parts, 0)), number(parts, 1), share, text(parts, 2)));
             }
         }
         List<Ended> ended = new ArrayList<>();
@@ -201,7 +202,7 @@
             String job = group.text("j");
             for (String item : group.texts("of")) {
                 String[] parts = item.split(" ");
-                ended.add(new Ended(new TaskId(job, (int) number(parts, 0)), number(parts, 1)));
+                ended.add(new Ended(new TaskId(job, (int) number(parts, 0)), number(parts, 1), text(parts, 2)));
             }
         }
         List<Image> images = new ArrayList<>();
@@ -215,9 +216,16 @@
 
     private static long number(String[] parts, int at) throws MalformedMessage {
         try {
-            return Long.parseLong(parts[at]);
-        } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+            return Long.parseLong(text(parts, at));
+        } catch (NumberFormatException e) {
+            throw new MalformedMessage("not an entry of the log: " + String.join(" ", parts));
+        }
+    }
+
+    private static String text(String[] parts, int at) throws MalformedMessage {
+        if (at >= parts.length) {
             throw new MalformedMessage("not an entry of the log: " + String.join(" ", parts));
         }
+        return parts[at];
     }
 }
--- a/src/main/java/madderrudder/bookkeeping/LogReading.java
+++ b/src/main/java/madderrudder/bookkeeping/LogReading.java
@@ -14,10 +14,10 @@
     private final Map<Attempt, LogPage.Entry> placed = new LinkedHashMap<>();
     private final List<LogPage.Image> images = new ArrayList<>();
 
-    private record Attempt(TaskId task, long number) {
+    private record Attempt(TaskId task, long number, String machine) {
     }
 
-    /** A later page has the last word; within a page what has ended counts after what was placed. */
+    /** A later page has the last word; within a page what has ended did so before anything was placed. */
     public static LogReading of(Collection<LogPage> pages) {
         LogReading reading = new LogReading();
         pages.stream().sorted(Comparator.comparingLong(LogPage::number)).forEach(reading::take);
@@ -28,8 +28,8 @@
     private void take(LogPage page) {
         page.machines().forEach(machine -> machines.put(machine.id(), machine));
         page.gone().forEach(machines::remove);
-        page.placed().forEach(entry -> placed.put(new Attempt(entry.task(), entry.attempt()), entry));
-        page.ended().forEach(end -> placed.remove(new Attempt(end.task(), end.attempt())));
+        page.ended().forEach(end -> placed.remove(new Attempt(end.task(), end.attempt(), end.machine())));
+        page.placed().forEach(entry -> placed.put(new Attempt(entry.task(), entry.attempt(), entry.machine()), entry));
         images.addAll(page.images());
     }
 
--- a/src/main/java/madderrudder/coordination/FleetLog.java
+++ b/src/main/java/madderrudder/coordination/FleetLog.java
@@ -143,7 +143,7 @@
     /** Nobody waits for this: what is placed later carries it along. */
     void ended(Assignment assignment) {
         if (!placed.remove(assignment)) {
-            ended.add(new LogPage.Ended(assignment.task, assignment.attempt));
+            ended.add(new LogPage.Ended(assignment.task, assignment.attempt, assignment.machine.id));
             term.journal.add(change, Lane.LATER);
         }
     }
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -267,6 +267,7 @@
         fleet.takeTouched().forEach(desk::push);
         lastPlanMicros = term.scheduler.nowMicros() - now;
         term.metrics.record(Timing.PLANNING, lastPlanMicros);
+        LOG.debug("planned for {} jobs in {} ms", demand.waiting().size(), lastPlanMicros / 1000);
     }
 
     private void place(Placement placement) {
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -71,6 +71,20 @@
         assertTrue(world.rules.starts > 2_000, "only " + world.rules.starts + " starts");
     }
 
+    /** Gangs gather, run, lose tasks and are taken over in each phase on these days; some must get as far as to run. */
+    @Test
+    void gangsRunOnRandomDays() {
+        int started = 0;
+        for (long seed = 1; seed <= 4; seed++) {
+            World world = day(seed, World.usualWorkers());
+            troubles(world);
+            world.run(TROUBLES_END);
+            assertEquals(List.of(), world.rules.broken);
+            started += world.rules.gangs.started;
+        }
+        assertTrue(started >= 12, "only " + started + " gangs ran");
+    }
+
     private static void troubles(World world) {
         for (long at = 10 * World.SECOND; at < TROUBLES_END;
                 at += World.SECOND * (5 + world.sim.random.nextLong(20))) {
