Planning passes over machines that are full and jobs that nothing can be stopped for

Now only machines that could take the least that any waiting task takes are looked at, and a job no less choosy than one that found nothing left to stop is passed over.

--- a/src/main/java/madderrudder/coordination/Demand.java
+++ b/src/main/java/madderrudder/coordination/Demand.java
@@ -24,6 +24,11 @@
         return new Demand(guaranteed, waiting(cluster, guaranteed, wallMicros), needsSteady);
     }
 
+    /** No task that waits takes less of anything. */
+    Resources leastPerTask() {
+        return waiting.stream().map(job -> job.spec.perTask()).reduce(Resources::least).orElse(Resources.NONE);
+    }
+
     /** Each fits into its team's guarantee together with the team's earlier unfinished jobs. */
     private static Set<Job> guaranteed(Cluster cluster) {
         Map<String, Resources> demand = new HashMap<>();
--- a/src/main/java/madderrudder/coordination/Placer.java
+++ b/src/main/java/madderrudder/coordination/Placer.java
@@ -6,6 +6,7 @@
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.Priority;
+import madderrudder.protocol.Resources;
 
 /**
  * Decides which waiting tasks go where: free owned room first, and rented room once a task has waited
@@ -53,18 +54,19 @@
         this.demand = demand;
         this.nowMicros = nowMicros;
         room = new Room(cluster);
+        Resources least = demand.leastPerTask();
         long all = 0;
         for (Machine machine : cluster.machines.values()) {
             if (machine.usable(nowMicros, cluster.deployment.workers().reportMicros())) {
                 all += machine.type.capacity().milliCpus();
-                long free = machine.type.capacity().milliCpus() - machine.used.milliCpus();
-                freeMilliCpus += free;
+                freeMilliCpus += machine.free().milliCpus();
                 if (machine.recallMicros < 0) {
                     usable.add(machine);
                     if (machine.stopping()) {
                         freeing.add(machine);
                     }
-                    if (free > 0) {
+                    // A machine whose scarcest resource is used up takes nothing, however much is left of the others.
+                    if (least.fits(machine.free())) {
                         open.add(machine);
                     }
                 }
@@ -76,7 +78,7 @@
     static List<Placement> plan(Cluster cluster, Policy policy, Demand demand, long nowMicros) {
         Placer placer = new Placer(cluster, policy, demand, nowMicros);
         for (Job job : demand.waiting()) {
-            if (placer.open.isEmpty() || placer.placements.size() >= MOST_PLACEMENTS) {
+            if (placer.open.isEmpty() && placer.freeing.isEmpty() || placer.placements.size() >= MOST_PLACEMENTS) {
                 break;
             }
             if (job.spec.kind() == Kind.GANG) {
@@ -127,10 +129,14 @@
         if (!job.gangGathers()) {
             return;
         }
+        PriorityQueue<Candidate> candidates = candidates(job);
+        if (candidates.isEmpty()) {
+            keep(job, List.of());
+            return;
+        }
         Room before = room.copy();
         long freeBefore = freeMilliCpus;
         int placed = placements.size();
-        PriorityQueue<Candidate> candidates = candidates(job);
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
         for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
             boolean may = startable(job, task) && room.teamAllows(job);
@@ -149,7 +155,7 @@
 
     /** Nothing is kept for a gang that these machines could not hold even if they were empty. */
     private void keep(Job job, List<Placement> found) {
-        if (!cluster.couldHold(job, usable)) {
+        if (found.isEmpty() && freeing.isEmpty() || !cluster.couldHold(job, usable)) {
             return;
         }
         int lacking = job.waitingCount() - found.size();
--- a/src/main/java/madderrudder/coordination/Preemption.java
+++ b/src/main/java/madderrudder/coordination/Preemption.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Set;
 import madderrudder.protocol.Kind;
@@ -26,6 +27,8 @@
     private final Map<Machine, Resources> coming = new HashMap<>();
     private final Map<String, Resources> usage;
     private final Set<Assignment> victims = new LinkedHashSet<>();
+    /** Jobs for which no room was left to be made. */
+    private final List<Job> inVain = new ArrayList<>();
     private final Demand demand;
     private final List<Machine> usable = new ArrayList<>();
 
@@ -56,7 +59,7 @@
         Room room = new Room(cluster);
         for (Job job : demand.waiting()) {
             boolean mayStopAnything = job.spec.priority() == Priority.PRODUCTION || demand.guaranteed().contains(job);
-            if (mayStopAnything && !job.faulty() && job.nextWaiting(0) >= 0) {
+            if (mayStopAnything && !job.faulty() && job.nextWaiting(0) >= 0 && !preemption.hopeless(job)) {
                 if (job.spec.kind() == Kind.GANG) {
                     preemption.makeRoomForGang(job, room);
                 } else {
@@ -67,6 +70,19 @@
         return preemption.victims;
     }
 
+    /**
+     * An earlier job that was no choosier found nothing left to stop, and there is only less by now. With many jobs
+     * waiting, looking at each machine for each of them took most of the processor.
+     */
+    private boolean hopeless(Job job) {
+        return inVain.stream().anyMatch(other -> other.team == job.team && other.spec.kind() == job.spec.kind()
+                && other.spec.priority() == job.spec.priority()
+                && demand.guaranteed().contains(other) == demand.guaranteed().contains(job)
+                && other.spec.spotAllowed() == job.spec.spotAllowed() && Objects.equals(other.spec.types(), job.spec.types())
+                && other.spec.zone() == null && !other.spec.oneZone() && !other.spec.spread()
+                && other.spec.perTask().fits(job.spec.perTask()));
+    }
+
     /**
      * A gang starts with all its tasks or not at all: unless room for all that wait can be made, nothing is stopped
      * for it. The placer keeps what is stopped here for the gang.
@@ -76,6 +92,9 @@
             return;
         }
         Making making = new Making(job, room.copy());
+        if (making.most() < job.waitingCount()) {
+            return;
+        }
         Map<Machine, Resources> comingBefore = new HashMap<>(coming);
         Map<String, Resources> usageBefore = new HashMap<>(usage);
         Set<Assignment> victimsBefore = new LinkedHashSet<>(victims);
@@ -111,10 +130,25 @@
             }
         }
 
+        /** For how many tasks there could be room at the most. */
+        int most() {
+            long most = 0;
+            for (PriorityQueue<Option> queue : List.of(owned, rented)) {
+                for (Option option : queue) {
+                    most += job.spec.perTask().timesIn(option.machine().type.capacity());
+                }
+            }
+            return (int) Math.min(Integer.MAX_VALUE, most);
+        }
+
         /** Makes room for each task that waits, as far as there is any; for how many. */
         int forEach() {
             for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
-                if (owned.isEmpty() && rented.isEmpty() || !room.teamAllows(job)) {
+                if (owned.isEmpty() && rented.isEmpty()) {
+                    inVain.add(job);
+                    break;
+                }
+                if (!room.teamAllows(job)) {
                     break;
                 }
                 if (job.ready(task, nowMicros)) {
--- a/src/main/java/madderrudder/protocol/Resources.java
+++ b/src/main/java/madderrudder/protocol/Resources.java
@@ -24,6 +24,12 @@
         return milliCpus <= room.milliCpus && milliGpus <= room.milliGpus && memoryMb <= room.memoryMb;
     }
 
+    /** The smaller amount of each. */
+    public static Resources least(Resources a, Resources b) {
+        return new Resources(Math.min(a.milliCpus, b.milliCpus), Math.min(a.milliGpus, b.milliGpus),
+                Math.min(a.memoryMb, b.memoryMb));
+    }
+
     /** How often this amount fits into the room. */
     public long timesIn(Resources room) {
         return Math.min(times(milliCpus, room.milliCpus),
