Users' writes go to the controllers whose users want them

Ruled out: the store's refusals (two commits refused), the processor.

Now pulses say how many writes users want at each controller, and each works out its part of what all may have; a controller that is not heard keeps an equal part.

--- a/src/main/java/madderrudder/bookkeeping/StoreClient.java
+++ b/src/main/java/madderrudder/bookkeeping/StoreClient.java
@@ -33,7 +33,7 @@
     private final String address;
     private final Pace requests;
     private final Pace writes;
-    private final double ownWritesPerSecond;
+    private double wantedWrites;
     private long lastOkMicros = Long.MIN_VALUE / 2;
 
     /** Turns the body of a 200 into a value. */
@@ -47,7 +47,6 @@
         this.calls = calls;
         this.address = address;
         requests = new Pace(scheduler, requestsPerSecond, requestsPerSecond);
-        ownWritesPerSecond = writesPerSecond;
         // Users come in bursts, which the store's own burst bears.
         writes = new Pace(scheduler, writesPerSecond, BURST_SECONDS * writesPerSecond);
     }
@@ -57,9 +56,16 @@
         return lastOkMicros;
     }
 
-    /** Users may have so many writes a second more than this node's own share, until this is said anew. */
-    public void spareWrites(double perSecond) {
-        writes.rate(ownWritesPerSecond + perSecond);
+    /** Users may have so many writes a second here, until this is said anew. */
+    public void userWrites(double perSecond) {
+        writes.rate(perSecond);
+    }
+
+    /** How many writes users have asked for here since the last look, refused ones too. */
+    public double takeWanted() {
+        double since = wantedWrites;
+        wantedWrites = 0;
+        return since;
     }
 
     public void get(String key, Consumer<StoreReply<Item>> answer) {
@@ -81,6 +87,7 @@
     /** A user's transaction: waits its turn, behind no polls, and is refused at once if that is too far off. */
     public void commit(List<Condition> conditions, List<Write> changes, Consumer<StoreReply<Long>> answer) {
         HttpRequest request = HttpRequest.post("/commit", StoreCodec.commit(conditions, changes));
+        wantedWrites += changes.size();
         boolean queued = writes.runWithin(changes.size(), MOST_TURN_MICROS,
                 () -> call(request, CALL_MICROS, StoreCodec::readRevision, answer));
         if (!queued) {
--- a/src/main/java/madderrudder/protocol/MeshFrame.java
+++ b/src/main/java/madderrudder/protocol/MeshFrame.java
@@ -15,11 +15,11 @@
     int PREFIX_BYTES = 4;
 
     /**
-     * A sign of life: the highest term heard of, who leads it, whether the store answers here, and how many thousandths
-     * of a write a second the sender leaves over for users, if it leads.
+     * A sign of life: the highest term heard of, who leads it, whether the store answers here; in thousandths, how many
+     * writes a second the sender leaves over for users, if it leads, and how many its own users want.
      */
-    record Pulse(String member, long term, String leader, boolean storeAnswers, int spareMilliWrites)
-            implements MeshFrame {
+    record Pulse(String member, long term, String leader, boolean storeAnswers, int spareMilliWrites,
+            int wantedMilliWrites) implements MeshFrame {
     }
 
     /** How far jobs have come, for display by nodes that don't lead. */
@@ -42,7 +42,8 @@
             putText(out, pulse.member());
             out.putLong(pulse.term());
             putText(out, pulse.leader());
-            out.put((byte) (pulse.storeAnswers() ? 1 : 0)).putInt(pulse.spareMilliWrites());
+            out.put((byte) (pulse.storeAnswers() ? 1 : 0)).putInt(pulse.spareMilliWrites())
+                    .putInt(pulse.wantedMilliWrites());
         } else if (frame instanceof Progress progress) {
             out.putLong(progress.term()).putInt(progress.jobs().size());
             for (JobProgress job : progress.jobs()) {
@@ -58,7 +59,7 @@
     static MeshFrame decode(ByteBuffer in) throws MalformedMessage {
         try {
             MeshFrame frame = switch (in.get()) {
-                case 1 -> new Pulse(text(in), in.getLong(), text(in), in.get() != 0, in.getInt());
+                case 1 -> new Pulse(text(in), in.getLong(), text(in), in.get() != 0, in.getInt(), in.getInt());
                 case 2 -> progress(in);
                 default -> throw new MalformedMessage("unknown mesh frame");
             };
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -71,8 +71,8 @@
     };
     private final Set<Homeless> homeless = new LinkedHashSet<>();
     private final Metrics metrics = new Metrics();
+    private final WriteShares writes;
     private long lastPulseMicros = -1;
-    private long lentUntilMicros;
     private Leader leader;
     private int pulses;
     private boolean malformedLogged;
@@ -95,6 +95,7 @@
         store = new StoreClient(scheduler, calls, settings.stateAddress(),
                 deployment.state().requestsPerSecond() * REQUESTS_SHARE / deployment.members(),
                 deployment.state().writesPerSecond() * WRITES_SHARE / deployment.members());
+        writes = new WriteShares(deployment.state().writesPerSecond() * WRITES_SHARE, deployment.members());
         CloudClient cloud = new CloudClient(scheduler, calls, settings.cloudAddress(),
                 deployment.cloud().requestsPerSecond());
         catalog = new Catalog(scheduler, store, cloud);
@@ -147,24 +148,18 @@
         lastPulseMicros = now;
         String name = election.leader();
         double spare = leader == null ? 0 : leader.spareWritesPerSecond(sinceMicros);
-        peers.broadcast(MeshFrame.encode(new MeshFrame.Pulse(settings.member(), election.highestTerm(),
-                name == null ? "" : name, storeAnswers(), (int) (1000 * spare))));
+        writes.wanted(store.takeWanted() * 1e6 / Math.max(1, sinceMicros));
         if (leader != null) {
-            lend(spare);
-        } else if (now > lentUntilMicros) {
-            lend(0);
+            writes.lent(spare, now);
         }
+        store.userWrites(writes.perSecond(now));
+        peers.broadcast(MeshFrame.encode(new MeshFrame.Pulse(settings.member(), election.highestTerm(),
+                name == null ? "" : name, storeAnswers(), (int) (1000 * spare), (int) (1000 * writes.wanted()))));
         if (leader != null && leader.ready() && ++pulses % PULSES_PER_PROGRESS == 0) {
             peers.broadcast(MeshFrame.encode(new MeshFrame.Progress(leader.number(), leader.someProgress())));
         }
     }
 
-    /** What the leader doesn't need is shared out alike, for as long as it says so. */
-    private void lend(double spareWrites) {
-        lentUntilMicros = scheduler.nowMicros() + PEER_SILENT_MICROS;
-        store.spareWrites(spareWrites / settings.deployment().members());
-    }
-
     /** A frame from another controller. */
     public void frame(ByteBuffer bytes) {
         try {
@@ -172,8 +167,9 @@
             if (frame instanceof MeshFrame.Pulse pulse) {
                 heard.put(pulse.member(), new Heard(pulse.storeAnswers(), scheduler.nowMicros()));
                 election.heard(pulse.term(), pulse.leader());
+                writes.heard(pulse.member(), pulse.wantedMilliWrites() / 1000.0, scheduler.nowMicros());
                 if (leader == null && pulse.member().equals(election.leader())) {
-                    lend(pulse.spareMilliWrites() / 1000.0);
+                    writes.lent(pulse.spareMilliWrites() / 1000.0, scheduler.nowMicros());
                 }
                 if (leader != null && pulse.term() >= leader.number()) {
                     leader.standsBack(pulse.member());
--- a/src/test/java/madderrudder/protocol/CodecTest.java
+++ b/src/test/java/madderrudder/protocol/CodecTest.java
@@ -71,7 +71,7 @@
 
     @Test
     void meshFramesComeBackAndNoiseIsRefused() throws MalformedMessage {
-        List<MeshFrame> frames = List.of(new MeshFrame.Pulse("bollard-1", 7, "", true, 1500),
+        List<MeshFrame> frames = List.of(new MeshFrame.Pulse("bollard-1", 7, "", true, 1500, 250),
                 new MeshFrame.Progress(9, List.of(new MeshFrame.JobProgress("req-000001", 3, 4))));
         SplittableRandom random = new SplittableRandom(3);
         int refused = 0;
