--- a/src/main/java/madderrudder/bookkeeping/Journal.java
+++ b/src/main/java/madderrudder/bookkeeping/Journal.java
@@ -28,8 +28,8 @@
     private static final long RETRY_MICROS = 150_000;
     private static final long LATER_MICROS = 4_000_000;
     /** One write in this many may rewrite the term key, and fewer while the rate is nearly used up. */
-    private static final double HELM_SHARE = 3;
-    private static final int SCARCE_FACTOR = 3;
+    private static final double HELM_SHARE = 5;
+    private static final int SCARCE_FACTOR = 2;
     private static final int MOST_BYTES = 48 * 1024;
     private static final int HEAD_BYTES = 512;
     private static final int LATER_PART = 8;
--- /dev/null
+++ b/src/test/java/madderrudder/sim/LiveChecksTest.java
@@ -0,0 +1,64 @@
+package madderrudder.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import madderrudder.bookkeeping.LiveChecks;
+import madderrudder.bookkeeping.LiveChecks.Answer;
+import madderrudder.bookkeeping.StoreClient;
+import madderrudder.transport.HttpRequest;
+import madderrudder.transport.HttpResponse;
+import org.junit.jupiter.api.Test;
+
+class LiveChecksTest {
+    private final List<HttpRequest> requests = new ArrayList<>();
+    private final List<Consumer<HttpResponse>> open = new ArrayList<>();
+    private final List<Answer> answers = new ArrayList<>();
+    private final LiveChecks checks = new LiveChecks(new StoreClient(new Sim(1).new Host(1, 0),
+            (address, request, timeout, answer) -> {
+                requests.add(request);
+                open.add(answer);
+            }, "10.0.0.1:1", 100, 10), 64);
+
+    private void ask(int from, int to) {
+        IntStream.range(from, to).forEach(i -> checks.ask("req-" + i, i + 1, answers::add));
+    }
+
+    private void answer(int status, String body) {
+        open.remove(0).accept(HttpResponse.of(status, body.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    /** A request for each poll once used up the store's rate, and submissions waited behind. */
+    @Test
+    void whatIsAskedMeanwhileGoesTogether() {
+        ask(0, 1);
+        ask(1, 101);
+        assertEquals(1, requests.size());
+        answer(200, "{\"logline\":9}");
+        assertEquals(List.of(Answer.LIVE), answers);
+        assertEquals(2, requests.size());
+        answer(409, "{\"failed\":[\"l/req-3\",\"l/req-5\"],\"logline\":9}");
+        assertEquals(63, answers.stream().filter(Answer.LIVE::equals).count());
+        assertEquals(Answer.MOVED, answers.get(3));
+        assertEquals(Answer.MOVED, answers.get(5));
+        answer(503, "{}");
+        assertEquals(36, answers.stream().filter(Answer.UNKNOWN::equals).count());
+        assertEquals(3, requests.size());
+        assertEquals(101, answers.size());
+    }
+
+    /** An answer must not be older than its question: what comes while one is under way waits for the next. */
+    @Test
+    void aQuestionIsNeverAnsweredByAnEarlierRequest() {
+        ask(0, 1);
+        ask(0, 1);
+        answer(200, "{\"logline\":9}");
+        assertEquals(1, answers.size());
+        answer(409, "{\"failed\":[\"l/req-0\"],\"logline\":10}");
+        assertEquals(List.of(Answer.LIVE, Answer.MOVED), answers);
+    }
+}
