--- a/src/main/java/madderrudder/coordination/Demand.java
+++ b/src/main/java/madderrudder/coordination/Demand.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import madderrudder.protocol.Kind;
 import madderrudder.protocol.Priority;
 import madderrudder.protocol.Resources;
 
@@ -45,7 +46,9 @@
     }
 
     /**
-     * Production, then what lies within a guarantee, then by priority. What may be stopped for a job always
+     * Production, then what lies within a guarantee, then by priority. A gang that is wanted promptly counts as if it
+     * lay within one for the order, not for stopping: room for one comes free rarely, and bulk work within guarantees
+     * would take each piece of it first. What may be stopped for a job always
      * comes after it here, so room made by stopping never goes back to what was stopped.
      *
      * <p>Among equals the one due first, as long as it can still be in time: with too much to do, working on
@@ -61,13 +64,17 @@
             }
         }
         waiting.sort(Comparator.<Job>comparingInt(job -> job.spec.priority() == Priority.PRODUCTION ? 0
-                        : guaranteed.contains(job) ? 1 : 2)
+                        : guaranteed.contains(job) || prompt(cluster, job) ? 1 : 2)
                 .thenComparingInt(job -> job.spec.priority().ordinal())
                 .thenComparing(job -> !guaranteed.contains(job))
                 .thenComparing(dues::get));
         return waiting;
     }
 
+    private static boolean prompt(Cluster cluster, Job job) {
+        return job.spec.kind() == Kind.GANG && cluster.deployment.objectives().wantsPromptStart(job.spec);
+    }
+
     /** The soonest time due that can still be met, and how many are missed already. */
     private record Due(int missed, long atWallMicros) implements Comparable<Due> {
         @Override
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -259,6 +259,20 @@
         assertEquals(0, three.assignments.size());
     }
 
+    /** While gangs came several times as often, bulk work within guarantees took all room before those beyond. */
+    @Test
+    void aPromptGangComesBeforeLowerWorkWithinGuarantees() {
+        Cluster hasty = cluster(new Objectives(Map.of("class", SECOND), Map.of(), Map.of()));
+        for (Cluster each : List.of(cluster, hasty)) {
+            Job bulk = job("req-1", "basso", Kind.ARRAY, Priority.LOW, 1, 4, false);
+            Job gang = job("req-2", "alto", Kind.GANG, Priority.HIGH, 3, 4, false);
+            each.jobs.put("req-1", bulk);
+            each.jobs.put("req-2", gang);
+            assertEquals(Set.of(bulk), Demand.of(each, 0).guaranteed());
+            assertEquals(each == hasty ? gang : bulk, Demand.of(each, 0).waiting().get(0));
+        }
+    }
+
     /** Counts how often the planners look at a machine for a job. */
     private static final class CountingCluster extends Cluster {
         private long looks;
