Pages of the log keep within their size whatever images are called

Cause: a page's size was reckoned with three bytes a character of a name. Users name images as they like, and a control character takes six bytes as JSON: a page of such names came to 25,861 bytes of 16,000. The store refuses such a page, and with it all that the leader would write after it. An entry of blanks for a machine ended the reading of the whole log with an exception. Ruled out: the bytes of job ids, machines and types, which users can't choose. Change: the bytes of each text are counted as they will be written, which also lets pages hold a little more.

--- a/src/main/java/madderrudder/bookkeeping/LogPage.java
+++ b/src/main/java/madderrudder/bookkeeping/LogPage.java
@@ -61,9 +61,8 @@
         private static final int HEAD_BYTES = 128;
         /** Of a group, beside the names in it; numbers have up to 20 digits. */
         private static final int GROUP_BYTES = 128;
-        private static final int ITEM_BYTES = 8;
-        /** A character of a name, written out. */
-        private static final int NAME_BYTES = 3;
+        /** Of an item, beside its text. */
+        private static final int ITEM_BYTES = 3;
 
         private int mostBytes;
         private int bytes = HEAD_BYTES;
@@ -90,8 +89,21 @@
             return true;
         }
 
-        private <K> boolean put(Map<K, List<String>> groups, K group, int names, String item) {
-            int size = item.length() + 3 + (groups.containsKey(group) ? 0 : GROUP_BYTES + NAME_BYTES * names);
+        /**
+         * Bytes of a text as JSON. Users name images as they like: with control characters, each of which takes six
+         * bytes, a page once grew beyond what the store takes, and no page after it could be written either.
+         */
+        private static int written(String text) {
+            int size = 0;
+            for (int i = 0; i < text.length(); i++) {
+                char c = text.charAt(i);
+                size += c < ' ' || Character.isSurrogate(c) ? 6 : c == '"' || c == '\\' ? 2 : c < 0x80 ? 1 : 3;
+            }
+            return size;
+        }
+
+        private <K> boolean put(Map<K, List<String>> groups, K group, int nameBytes, String item) {
+            int size = written(item) + ITEM_BYTES + (groups.containsKey(group) ? 0 : GROUP_BYTES + nameBytes);
             if (!room(size)) {
                 return false;
             }
@@ -102,27 +114,27 @@
         /** False, here and below, if the page is too full for it. */
         public boolean add(MachineEntry machine) {
             Kind kind = machine.kind();
-            return put(machines, kind, kind.type().length() + kind.zone().length(), machine.id() + " "
+            return put(machines, kind, written(kind.type()) + written(kind.zone()), machine.id() + " "
                     + machine.rentedWallMicros() + (machine.retiring() ? " r" : ""));
         }
 
         public boolean addGone(String machine) {
-            return room(machine.length() + ITEM_BYTES) && gone.add(machine);
+            return room(written(machine) + ITEM_BYTES) && gone.add(machine);
         }
 
         public boolean add(Entry entry) {
             String job = entry.task().job();
-            return put(placed, new JobShare(job, entry.share()), job.length() + entry.share().team().length(),
+            return put(placed, new JobShare(job, entry.share()), written(job) + written(entry.share().team()),
                     entry.task().index() + " " + entry.attempt() + " " + entry.machine());
         }
 
         public boolean add(Ended end) {
-            return put(ended, end.task().job(), end.task().job().length(),
+            return put(ended, end.task().job(), written(end.task().job()),
                     end.task().index() + " " + end.attempt() + " " + end.machine());
         }
 
         public boolean add(Image image) {
-            return put(images, new ImageName(image.name(), image.gb()), image.name().length(), image.machine());
+            return put(images, new ImageName(image.name(), image.gb()), written(image.name()), image.machine());
         }
 
         public byte[] render(long number) {
@@ -184,7 +196,7 @@
             Kind kind = new Kind(group.text("type"), group.text("zone"), group.flag("spot"), group.flag("owned"));
             for (String item : group.texts("of")) {
                 String[] parts = item.split(" ");
-                machines.add(new MachineEntry(parts[0], kind, number(parts, 1), parts.length > 2));
+                machines.add(new MachineEntry(text(parts, 0), kind, number(parts, 1), parts.length > 2));
             }
         }
         List<Entry> placed = new ArrayList<>();
--- a/src/test/java/madderrudder/bookkeeping/RecordsTest.java
+++ b/src/test/java/madderrudder/bookkeeping/RecordsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.BitSet;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import madderrudder.protocol.Fields;
 import madderrudder.protocol.Json;
 import madderrudder.protocol.MalformedMessage;
 import madderrudder.protocol.Resources;
@@ -72,6 +74,33 @@
         }
     }
 
+    /**
+     * Users name images as they like. A page of names with control characters once came to 25 KiB of 16, which the
+     * store refuses, and with it whatever the leader writes after.
+     */
+    @Test
+    void pagesKeepWithinAValueWhateverImagesAreCalled() throws MalformedMessage {
+        for (String letter : List.of("\u0001", "\"", "\u20ac", "\ud83d\ude00")) {
+            LogPage.Builder builder = new LogPage.Builder(15 * 1024);
+            int count = 0;
+            while (builder.add(new LogPage.Image(letter.repeat(200 / letter.length() - 8) + count, 1.5, "m-000001"))) {
+                count++;
+            }
+            byte[] text = builder.render(1);
+            assertTrue(text.length <= 15 * 1024, text.length + " bytes");
+            assertEquals(count, LogPage.read(Json.readObject(text)).images().size());
+            assertTrue(count > 8, "only " + count);
+        }
+    }
+
+    /** An entry of blanks ended the reading of the whole log with an exception instead of a complaint. */
+    @Test
+    void aPageWithoutAMachinesNameIsMalformed() throws MalformedMessage {
+        Fields page = Json.readObject(("{\"n\":1,\"machines\":[{\"type\":\"a\",\"zone\":\"b\",\"spot\":true,\"owned\":true,"
+                + "\"of\":[\" \"]}],\"gone\":[],\"placed\":[],\"ended\":[],\"images\":[]}").getBytes());
+        assertThrows(MalformedMessage.class, () -> LogPage.read(page));
+    }
+
     /** Later pages have the last word, wherever they lie; what was on a machine that has gone has gone. */
     @Test
     void pagesAreReadInTheOrderOfTheirNumbers() {
