A number beyond a double's range is kept as it came

Cause: 1e999 was read as infinite and written again as the text "Infinity", so what was kept did not read back the same. Found by a property. Change: such a number is kept by its digits; every field that wants an amount or a count refuses it as before.

--- a/src/main/java/madderrudder/protocol/Json.java
+++ b/src/main/java/madderrudder/protocol/Json.java
@@ -19,6 +19,13 @@
             .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(64).maxNumberLength(64).build())
             .build();
 
+    /**
+     * A number beyond a double's range, as it came. No field takes one, but unknown fields are to be ignored; kept as
+     * infinite, it would be written again as a text.
+     */
+    private record Beyond(String digits) {
+    }
+
     private Json() {
     }
 
@@ -102,7 +109,8 @@
                         ? (Object) in.getBigIntegerValue() : (Object) in.getLongValue();
             }
             case VALUE_NUMBER_FLOAT -> {
-                return in.getDoubleValue();
+                double number = in.getDoubleValue();
+                return Double.isInfinite(number) ? (Object) new Beyond(in.getText()) : (Object) number;
             }
             case VALUE_TRUE -> {
                 return Boolean.TRUE;
@@ -137,6 +145,8 @@
             out.writeNumber(number);
         } else if (value instanceof Double number) {
             out.writeNumber(number);
+        } else if (value instanceof Beyond number) {
+            out.writeNumber(number.digits());
         } else if (value instanceof Boolean flag) {
             out.writeBoolean(flag);
         } else if (value instanceof String text) {
--- a/src/test/java/madderrudder/protocol/CodecTest.java
+++ b/src/test/java/madderrudder/protocol/CodecTest.java
@@ -57,6 +57,15 @@
         assertThrows(MalformedMessage.class, () -> Json.readObject(json("{'a':" + "[".repeat(30_000))));
     }
 
+    /** Read as infinite, a number beyond all bounds was written again as a text. */
+    @Test
+    void numbersBeyondAllBoundsAreKeptAndTakenForNoAmount() throws MalformedMessage {
+        Fields read = Json.readObject(json("{'a':1e999,'b':-1e-999,'c':-1e99999999999999}"));
+        assertEquals("{\"a\":1e999,\"b\":-0.0,\"c\":-1e99999999999999}", new String(read.render(), StandardCharsets.UTF_8));
+        assertThrows(MalformedMessage.class, () -> read.amount("a"));
+        assertThrows(MalformedMessage.class, () -> read.count("a"));
+    }
+
     @Test
     void readsAReport() throws MalformedMessage {
         WorkerReport report = WorkerCodec.readReport(json("{'vessel':'m-1','addr':'10.1.0.2:9000','build':'g8',"
