A change of session ends only what the leader itself has placed

Two reports of a machine, of its first and its second session, were held on their way to a controller, which led again by the time they came; it took the second for a new session and everything on the machine for gone. Ruled out: leases and margins, late commands, a fault of the model. Change: records taken over from an earlier leader stay through a change of session; they go with a report that knows this term, or once the machine has been silent for a lease, as before.

--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -150,13 +150,20 @@
     }
 
     void releaseAll(Machine machine) {
-        for (Assignment assignment : List.copyOf(machine.assignments.values())) {
-            release(assignment);
-        }
+        List.copyOf(machine.assignments.values()).forEach(this::release);
         term.cluster.strays(machine, List.of());
         machine.unforgettable.clear();
     }
 
+    /** Releases what this leader has placed on the machine. */
+    void releaseOwn(Machine machine) {
+        for (Assignment assignment : List.copyOf(machine.assignments.values())) {
+            if (!assignment.inherited) {
+                release(assignment);
+            }
+        }
+    }
+
     /** The cloud has confirmed the deletion: the machine and everything on it is gone. */
     void remove(Machine machine) {
         releaseAll(machine);
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -82,10 +82,15 @@
         return true;
     }
 
-    /** The worker's lease ran out in between: it forgot everything, and old commands no longer fit. */
+    /**
+     * The worker's lease ran out in between: it forgot what this leader had started, and old commands no longer fit.
+     * What an earlier leader started may belong to the new session: both reports may be older than that, held on their
+     * way. Such tasks once were taken for gone and ran twice; they go only with a report that knows this term.
+     */
     private void newSession(Machine machine) {
         LOG.info("{} begins a new session", machine.id);
-        fleet.releaseAll(machine);
+        fleet.releaseOwn(machine);
+        machine.unforgettable.clear();
         machine.forgetImages();
     }
 
--- a/src/test/java/madderrudder/sim/Rules.java
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -111,6 +111,10 @@
         completed.computeIfAbsent(task.job(), job -> new HashSet<>()).add(task.index());
     }
 
+    long tasksOn(SimWorker machine) {
+        return onMachine.values().stream().filter(machine::equals).count();
+    }
+
     boolean isCompleted(TaskId task) {
         return completed.getOrDefault(task.job(), Set.of()).contains(task.index());
     }
