A completed task with a start still on its way is not forgotten on its worker

Cause: a start sent straight to a worker may be held on its way while the same start reaches it with an answer. A task that then fails is not forgotten on the worker while the first start may arrive; one that completes was, and the late start would begin it again, with no record of it. Change: the same care for whatever the end.

--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -165,6 +165,10 @@
         Machine machine = assignment.machine;
         Job job = assignment.job;
         LOG.debug("{} attempt {} exited on {}: {}", task.task(), task.attempt(), machine.id, task.why());
+        // The start may still be on its way, while reports came by another: forgotten, the task would start again.
+        if (assignment.directOpen) {
+            machine.unforgettable.add(assignment.key());
+        }
         if (task.why() == Why.DONE) {
             if (job != null) {
                 fleet.usedImage(machine, job.spec);
@@ -175,9 +179,6 @@
             jobs.completed(assignment);
             return true;
         }
-        if (assignment.directOpen) {
-            machine.unforgettable.add(assignment.key());
-        }
         fleet.release(assignment);
         if (job != null && !job.over) {
             switch (task.why()) {
