Deputies: controllers answer workers for a leader that can't be reached

Change: a leader grants every controller it hears the right to answer reports under its token, without commands, for as long as it may answer itself without news from the store, counted on the deputy's clock from the sending of what the grant answers. Deputies tell at each pulse which machines they have answered within a lease. A leader takes a silent machine for empty only once every deputy has told of all its answers up to the end of the machine's lease, or can't have given one for a lease. Grants count from before the oldest cancellation whose tasks may still be somewhere. A worker that is back from a leader it can't reach is served through a controller that can: its report is passed on and answered by the leader with commands. No record is written for it. Off by default: (deputies on) in the operators' file. Besides: how long a machine has been silent counts from when this leader heard it, no longer from when an earlier leader may have answered it.

--- a/src/main/java/madderrudder/cli/Serve.java
+++ b/src/main/java/madderrudder/cli/Serve.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousChannelGroup;
-import java.util.List;
 import java.util.SplittableRandom;
 import madderrudder.coordination.Policy;
 import madderrudder.protocol.MeshFrame;
@@ -37,7 +36,7 @@
             AsynchronousChannelGroup group = AsynchronousChannelGroup.withThreadPool(loop);
             int sockets = Math.max(32, settings.maxSockets() - SOCKETS_ASIDE);
             HttpClient calls = new HttpClient(loop, group, sockets / 4);
-            Mesh mesh = new Mesh(loop, group, Addresses.parse(settings.meshListen()), List.copyOf(settings.peers().values()),
+            Mesh mesh = new Mesh(loop, group, Addresses.parse(settings.meshListen()), settings.peers(),
                     MeshFrame.MAX_BYTES, frame -> node.frame(frame));
             node = new Node(loop, calls, mesh, new SplittableRandom(), settings, policy);
             HttpServer server = new HttpServer(loop, group, Addresses.parse(settings.clientListen()),
--- a/src/main/java/madderrudder/coordination/Cluster.java
+++ b/src/main/java/madderrudder/coordination/Cluster.java
@@ -13,6 +13,7 @@
 
 /** The leader's picture: live jobs, machines, and what may be where. */
 public class Cluster {
+    static final long LONG_AGO = Long.MIN_VALUE / 4;
     private static final double MOST_RATIO = 4;
     private static final double LEARNING = 0.02;
 
@@ -25,6 +26,8 @@
     private final Map<String, Resources> usage = new HashMap<>();
     private final Map<String, Double> ratios = new HashMap<>();
     private final Map<TaskId, Integer> strayed = new HashMap<>();
+    /** Tasks of cancelled jobs that may still be somewhere, and a moment before their users were told; oldest first. */
+    private final Map<Assignment, Long> doomed = new LinkedHashMap<>();
 
     Cluster(Deployment deployment) {
         this.deployment = deployment;
@@ -60,6 +63,7 @@
         if (assignment.machine.assignments.remove(assignment.key()) == null) {
             return false;
         }
+        doomed.remove(assignment);
         if (assignment.job != null) {
             assignment.job.release(assignment, nowMicros);
         }
@@ -73,10 +77,27 @@
     void complete(Assignment assignment) {
         if (!assignment.completed) {
             assignment.completed = true;
+            doomed.remove(assignment);
             giveBack(assignment.machine, assignment.team, assignment.takes);
         }
     }
 
+    /** The task's job was cancelled, its user told after the moment; the task may still be there. */
+    void doom(Assignment assignment, long beforeMicros) {
+        doomed.putIfAbsent(assignment, beforeMicros);
+    }
+
+    /**
+     * Every job whose user was told of its cancellation before this moment has surely no task anywhere, given up to when
+     * cancellations are known at all. A task that no record names may be of any job.
+     */
+    long settledMicros(long knownMicros) {
+        if (!strayed.isEmpty()) {
+            return LONG_AGO;
+        }
+        return doomed.isEmpty() ? knownMicros : Math.min(knownMicros, doomed.values().iterator().next());
+    }
+
     /** The worker says that it has these tasks, which no record names there. */
     void strays(Machine machine, List<Machine.Stray> found) {
         for (Machine.Stray stray : machine.strays) {
--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -109,6 +109,9 @@
             assignment.unwanted = true;
         }
         term.cluster.hold(assignment);
+        if (job == null) {
+            term.cluster.doom(assignment, Cluster.LONG_AGO);
+        }
     }
 
     /** The task shall not run there any more; its worker will hear of it. */
@@ -185,7 +188,7 @@
     void lapseSilent(long nowMicros) {
         for (Machine machine : List.copyOf(term.cluster.machines.values())) {
             boolean counts = machine.reported || !machine.assignments.isEmpty();
-            if (!machine.lapsed && counts && nowMicros - machine.answeredMicros > term.safety.leaseMicros()) {
+            if (!machine.lapsed && counts && term.deputies.dropped(machine.answeredMicros, nowMicros)) {
                 LOG.info("{} has been silent for a lease", machine.id);
                 machine.lapsed = true;
                 machine.forgetImages();
--- a/src/main/java/madderrudder/coordination/JobBook.java
+++ b/src/main/java/madderrudder/coordination/JobBook.java
@@ -80,12 +80,13 @@
                 return;
             }
             if (reply.is(Outcome.OK)) {
+                long beforeMicros = freshMicros;
                 freshMicros = sentMicros;
                 for (Item item : reply.value().items()) {
                     if (item.value() != null) {
                         add(item);
                     } else {
-                        dropped(item.key().substring(Keys.LIVE.length()));
+                        dropped(item.key().substring(Keys.LIVE.length()), beforeMicros);
                     }
                 }
                 if (!reply.value().items().isEmpty()) {
@@ -120,13 +121,18 @@
         }
     }
 
-    /** A live job's key is gone: either this leader moved it, or its user cancelled it. */
-    private void dropped(String id) {
+    /** A live job's key is gone: either this leader moved it, or its user cancelled it, after the moment given. */
+    private void dropped(String id, long beforeMicros) {
         Job job = term.cluster.jobs.get(id);
         if (job == null || job.over) {
             return;
         }
         LOG.debug("{} cancelled", id);
+        for (Assignment assignment : job.assignments) {
+            if (!assignment.completed) {
+                term.cluster.doom(assignment, beforeMicros);
+            }
+        }
         end(job);
         for (int chunk = 0; chunk <= job.spec.tasks() / JobRecords.CHUNK; chunk++) {
             if (!job.done.isEmpty()) {
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -17,7 +17,11 @@
 import madderrudder.bookkeeping.StoreClient;
 import madderrudder.protocol.Kind;
 import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.MeshFrame;
+import madderrudder.protocol.MeshFrame.Answered;
+import madderrudder.protocol.MeshFrame.Echo;
 import madderrudder.protocol.MeshFrame.JobProgress;
+import madderrudder.protocol.MeshFrame.Standing;
 import madderrudder.protocol.Order;
 import madderrudder.protocol.StoreCodec.Write;
 import madderrudder.protocol.WorkerReport;
@@ -160,6 +164,46 @@
         return now < Math.min(jobs.freshMicros(), term.election.holdEndMicros()) + term.safety.answerMicros();
     }
 
+    /**
+     * For how long other controllers may answer workers in this leader's stead, with no command: until a worker that got
+     * their last answer drops in time whatever may have been cancelled since, as in {@link #mayAnswer}; 0 for not at all.
+     * Tasks of jobs that were cancelled earlier and may still be somewhere are not known to them, so that the time
+     * counts from before their users were told.
+     */
+    public long grantMicros() {
+        if (!ready || !term.policy.deputies()) {
+            return 0;
+        }
+        long from = Math.min(term.cluster.settledMicros(jobs.freshMicros()), term.election.holdEndMicros());
+        return Math.max(0, from + term.safety.answerMicros() - term.scheduler.nowMicros());
+    }
+
+    /** The grant goes out to those who have been heard. */
+    public void granted(List<Echo> to, long grantMicros) {
+        long untilMicros = term.scheduler.nowMicros() + grantMicros;
+        to.forEach(echo -> term.deputies.granted(echo, untilMicros));
+    }
+
+    /** Another controller has answered machines. */
+    public void heard(Answered answered) {
+        long now = term.scheduler.nowMicros();
+        for (MeshFrame.Answer answer : answered.answers()) {
+            Machine machine = term.cluster.machines.get(answer.machine());
+            if (machine != null) {
+                machine.answeredMicros = Math.max(machine.answeredMicros,
+                        now - Safety.shortened(1000L * answer.agoMillis()));
+            }
+        }
+        term.deputies.heard(answered);
+    }
+
+    /** Another controller's word, with what it has heard of this process, or null. */
+    public void heard(Standing standing, Echo mine) {
+        if (around.others().contains(standing.member())) {
+            term.deputies.heard(standing, mine, term.scheduler.nowMicros());
+        }
+    }
+
     /** Takes a worker's report; the answer may come a little later. */
     public void report(WorkerReport report, Consumer<Answer> answer) {
         if (!mayAnswer()) {
@@ -224,7 +268,7 @@
         for (Machine machine : term.cluster.machines.values()) {
             if (machine.reported && !machine.lapsed && !machine.retiring) {
                 heard++;
-                silent += term.scheduler.nowMicros() - machine.answeredMicros > limit ? 1 : 0;
+                silent += term.scheduler.nowMicros() - machine.heardMicros > limit ? 1 : 0;
             }
         }
         return heard >= LEAST_HEARD && 3 * silent >= 2 * heard && term.election.entitled();
--- a/src/main/java/madderrudder/coordination/Machine.java
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -39,8 +39,10 @@
     long session;
     long seq;
     long token;
-    /** When the last report that was answered came in; before that, when this leader began. */
+    /** When its worker may last have been answered by anybody, as far as is known; at first, when this leader began. */
     long answeredMicros;
+    /** When this leader last answered it, itself or by another controller at its word. */
+    long heardMicros;
     /** Silent for so long that its worker has dropped everything. */
     boolean lapsed;
     long recallMicros = -1;
@@ -70,6 +72,7 @@
         this.rentedWallMicros = rentedWallMicros;
         knownMicros = nowMicros;
         answeredMicros = nowMicros;
+        heardMicros = nowMicros;
         idleSinceMicros = nowMicros;
     }
 
@@ -110,7 +113,7 @@
 
     /** Several reports are missing, though its worker may still have its tasks. */
     boolean silent(long nowMicros, long reportMicros) {
-        return reported && nowMicros - answeredMicros >= 3 * reportMicros + 1_000_000;
+        return reported && nowMicros - heardMicros >= 3 * reportMicros + 1_000_000;
     }
 
     /** The image has been here lately, and the newer ones leave room for it. */
--- a/src/main/java/madderrudder/coordination/Safety.java
+++ b/src/main/java/madderrudder/coordination/Safety.java
@@ -9,7 +9,12 @@
 
     /** Whether a hold may still be counted on, given when its last good extension was sent. */
     public static long holdEndMicros(long sentMicros, long lifeMicros) {
-        return sentMicros + lifeMicros - lifeMicros / 500 - 20_000;
+        return sentMicros + shortened(lifeMicros) - 20_000;
+    }
+
+    /** The part of a time given by another clock that has surely not passed there while it passes here. */
+    public static long shortened(long micros) {
+        return micros - micros / 500;
     }
 
     /**
--- a/src/main/java/madderrudder/coordination/Term.java
+++ b/src/main/java/madderrudder/coordination/Term.java
@@ -23,6 +23,7 @@
     final long number;
     final Journal journal;
     final Cluster cluster;
+    final Deputies deputies;
     private long attempts;
     private long charters;
     private boolean closed;
@@ -40,6 +41,7 @@
         journal = new Journal(scheduler, store, around.member(), number, helmVersion,
                 deployment.state().transactionWrites(), deployment.state().writesPerSecond() * LEADER_SHARE, onLost);
         cluster = new Cluster(deployment);
+        deputies = new Deputies(safety.leaseMicros());
     }
 
     /** Attempt numbers embed the term, so that no other leader ever gives the same one. */
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -235,6 +235,7 @@
         }
         long now = term.scheduler.nowMicros();
         machine.answeredMicros = Math.max(machine.answeredMicros, now);
+        machine.heardMicros = now;
         if (machine.session != report.session() || machine.seq != report.seq()) {
             return List.of();
         }
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -5,7 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,15 +15,15 @@
 import madderrudder.bookkeeping.StoreClient;
 import madderrudder.coordination.Catalog;
 import madderrudder.coordination.CloudClient;
+import madderrudder.coordination.Deputy;
 import madderrudder.coordination.Election;
 import madderrudder.coordination.Leader;
 import madderrudder.coordination.Policy;
+import madderrudder.coordination.Safety;
 import madderrudder.protocol.Json;
 import madderrudder.protocol.MalformedMessage;
 import madderrudder.protocol.MeshFrame;
 import madderrudder.protocol.MeshFrame.JobProgress;
-import madderrudder.protocol.WorkerCodec;
-import madderrudder.protocol.WorkerReport;
 import madderrudder.transport.HttpCalls;
 import madderrudder.transport.HttpExchange;
 import madderrudder.transport.HttpRequest;
@@ -43,9 +42,6 @@
     private static final long PULSE_MICROS = 400_000;
     private static final long STORE_SILENT_MICROS = 4_500_000;
     private static final long PEER_SILENT_MICROS = 2_000_000;
-    private static final long HOMELESS_MICROS = 1_500_000;
-    private static final long SETTLE_MICROS = 50_000;
-    private static final int MOST_HOMELESS = 256;
     private static final int MOST_PROGRESS = 5_000;
     private static final int PULSES_PER_PROGRESS = 2;
     /** Of the store's rates, for what users ask of all nodes together. */
@@ -69,7 +65,8 @@
             return size() > MOST_PROGRESS;
         }
     };
-    private final Set<Homeless> homeless = new LinkedHashSet<>();
+    private final Deputy deputy;
+    private final ReportDesk reports;
     private final Metrics metrics = new Metrics();
     private final WriteShares writes;
     private long lastPulseMicros = -1;
@@ -77,10 +74,6 @@
     private int pulses;
     private boolean malformedLogged;
 
-    /** A report that came while nobody led. */
-    private record Homeless(WorkerReport report, Consumer<HttpResponse> answer) {
-    }
-
     /** What a peer last said, and when. */
     private record Heard(boolean storeAnswers, long atMicros) {
     }
@@ -115,13 +108,17 @@
                 this::progress);
         surroundings = new Leader.Surroundings(scheduler, store, calls, cloud, catalog, election, deployment, policy,
                 settings.member(), Set.copyOf(settings.peers().keySet()), metrics);
+        deputy = new Deputy(scheduler, Safety.of(deployment.workers()), settings.member(), random.nextLong());
+        reports = new ReportDesk(new ReportDesk.Surroundings(scheduler, election, deputy,
+                new Detours(random, settings.maxSockets()), peers, settings.member(), () -> leader, this::storeAnswers),
+                policy.deputies(), 2 * policy.holdMicros());
     }
 
     public void start() {
         catalog.start();
         election.start();
         scheduler.every(PULSE_MICROS, this::pulse);
-        scheduler.every(SETTLE_MICROS, this::settleHomeless);
+        reports.start();
     }
 
     /** Whether this node holds the lead at this moment. */
@@ -158,6 +155,11 @@
         if (leader != null && leader.ready() && ++pulses % PULSES_PER_PROGRESS == 0) {
             peers.broadcast(MeshFrame.encode(new MeshFrame.Progress(leader.number(), leader.someProgress())));
         }
+        long grantMicros = leader == null ? 0 : leader.grantMicros();
+        if (grantMicros > 0) {
+            leader.granted(deputy.echoes(), grantMicros);
+        }
+        deputy.frames(election.highestTerm(), grantMicros).forEach(frame -> peers.broadcast(MeshFrame.encode(frame)));
     }
 
     /** A frame from another controller. */
@@ -174,8 +176,24 @@
                 if (leader != null && pulse.term() >= leader.number()) {
                     leader.standsBack(pulse.member());
                 }
-            } else if (frame instanceof MeshFrame.Progress progress && progress.term() >= election.highestTerm()) {
-                progress.jobs().forEach(job -> told.put(job.job(), job));
+            } else if (frame instanceof MeshFrame.Progress progress) {
+                if (progress.term() >= election.highestTerm()) {
+                    progress.jobs().forEach(job -> told.put(job.job(), job));
+                }
+            } else if (frame instanceof MeshFrame.Standing standing) {
+                election.heard(standing.term(), null);
+                deputy.take(standing, election.highestTerm());
+                if (leader != null) {
+                    leader.heard(standing, deputy.echo(standing));
+                }
+            } else if (frame instanceof MeshFrame.Answered answered) {
+                if (leader != null) {
+                    leader.heard(answered);
+                }
+            } else if (frame instanceof MeshFrame.Relayed relayed) {
+                reports.take(relayed);
+            } else if (frame instanceof MeshFrame.RelayAnswer answer) {
+                reports.take(answer);
             }
         } catch (MalformedMessage e) {
             logMalformed("a peer", e);
@@ -217,7 +235,7 @@
         } else if (path.equals("/metrics")) {
             only("GET", request, answer, () -> answer.accept(HttpResponse.of(200, Json.object(this::writeMetrics))));
         } else if (path.equals("/hello")) {
-            only("POST", request, answer, () -> report(request.body(), answer));
+            only("POST", request, answer, () -> reports.report(request.body(), answer));
         } else if (path.equals(JOBS)) {
             only("POST", request, answer, () -> submit(request.body(), answer));
         } else if (path.startsWith(JOBS + "/") && path.endsWith(WITHDRAW)) {
@@ -259,65 +277,6 @@
         }
     }
 
-    private void report(byte[] body, Consumer<HttpResponse> answer) {
-        WorkerReport report;
-        try {
-            report = WorkerCodec.readReport(body);
-        } catch (MalformedMessage e) {
-            logMalformed("a worker", e);
-            answer.accept(HttpResponse.of(400, Json.error(e.getMessage())));
-            return;
-        }
-        election.heard(report.token(), null);
-        if (leader == null && election.leader() == null && homeless.size() < MOST_HOMELESS) {
-            keep(report, answer);
-        } else {
-            report(report, answer);
-        }
-    }
-
-    /**
-     * While nobody leads, a worker sent away comes back a second later at the earliest, and its lease runs.
-     * Its report is kept for a moment instead, and answered once it is clear by whom.
-     */
-    private void keep(WorkerReport report, Consumer<HttpResponse> answer) {
-        Homeless kept = new Homeless(report, answer);
-        homeless.add(kept);
-        scheduler.after(HOMELESS_MICROS, () -> {
-            if (homeless.remove(kept)) {
-                redirect(answer);
-            }
-        });
-    }
-
-    private void settleHomeless() {
-        if (!homeless.isEmpty() && (leader != null || election.leader() != null)) {
-            List<Homeless> settled = List.copyOf(homeless);
-            homeless.clear();
-            settled.forEach(kept -> report(kept.report(), kept.answer()));
-        }
-    }
-
-    private void report(WorkerReport report, Consumer<HttpResponse> answer) {
-        if (leader == null) {
-            redirect(answer);
-            return;
-        }
-        leader.report(report, reply -> {
-            if (reply.orders() == null) {
-                redirect(answer);
-            } else {
-                answer.accept(HttpResponse.of(200, WorkerCodec.answer(reply.token(), reply.orders())));
-            }
-        });
-    }
-
-    private void redirect(Consumer<HttpResponse> answer) {
-        String name = election.leader();
-        boolean other = name != null && !name.equals(settings.member());
-        answer.accept(HttpResponse.of(421, WorkerCodec.redirect(other ? name : null)));
-    }
-
     private void logMalformed(String who, MalformedMessage cause) {
         if (malformedLogged) {
             LOG.debug("malformed message from {}: {}", who, cause.getMessage());
--- a/src/main/java/madderrudder/service/OperatorSettings.java
+++ b/src/main/java/madderrudder/service/OperatorSettings.java
@@ -1,7 +1,8 @@
 package madderrudder.service;
 
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import madderrudder.coordination.Policy;
 import madderrudder.coordination.Policy.SpotMode;
@@ -16,48 +17,42 @@
     private OperatorSettings() {
     }
 
+    private static final Set<String> NAMES = Set.of("threshold-s", "poll-s", "budget", "budget-window-s", "idle-s", "spot",
+            "hold-s", "headroom", "patience", "deputies");
+
     public static Policy parse(String text) throws Malformed {
         if (!(SExpression.parse(text) instanceof Items root) || root.items().isEmpty()
                 || !(root.items().get(0) instanceof Atom head) || !head.text().equals(ROOT)) {
             throw new Malformed(1, 1, "expected (" + ROOT + " ...)");
         }
-        Policy policy = Policy.defaults();
-        Set<String> seen = new HashSet<>();
+        Map<String, Atom> values = new HashMap<>();
         for (SExpression item : root.items().subList(1, root.items().size())) {
             if (!(item instanceof Items pair) || pair.items().size() != 2
                     || !(pair.items().get(0) instanceof Atom name) || !(pair.items().get(1) instanceof Atom value)) {
                 throw new Malformed(item.line(), item.column(), "expected (name value)");
             }
-            if (!seen.add(name.text())) {
+            if (!NAMES.contains(name.text())) {
+                throw new Malformed(name.line(), name.column(), "unknown setting " + name.text());
+            }
+            if (values.put(name.text(), value) != null) {
                 throw new Malformed(name.line(), name.column(), name.text() + " is set twice");
             }
-            policy = apply(policy, name, value);
         }
-        return policy;
+        return policy(values);
     }
 
-    private static Policy apply(Policy p, Atom name, Atom value) throws Malformed {
-        return switch (name.text()) {
-            case "threshold-s" -> new Policy(micros(value, 0, 86_400), p.pollMicros(), p.budget(),
-                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
-            case "poll-s" -> new Policy(p.thresholdMicros(), micros(value, 0.1, 3_600), p.budget(),
-                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
-            case "budget" -> new Policy(p.thresholdMicros(), p.pollMicros(), (int) number(value, 0, 1_000_000),
-                    p.budgetWindowMicros(), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
-            case "budget-window-s" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(),
-                    micros(value, 1, 604_800), p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
-            case "idle-s" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    micros(value, 1, 86_400), p.spotMode(), p.holdMicros(), p.headroom(), p.patience());
-            case "spot" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    p.idleMicros(), spotMode(value), p.holdMicros(), p.headroom(), p.patience());
-            case "hold-s" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    p.idleMicros(), p.spotMode(), micros(value, 1, 60), p.headroom(), p.patience());
-            case "headroom" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    p.idleMicros(), p.spotMode(), p.holdMicros(), number(value, 0, 0.9), p.patience());
-            case "patience" -> new Policy(p.thresholdMicros(), p.pollMicros(), p.budget(), p.budgetWindowMicros(),
-                    p.idleMicros(), p.spotMode(), p.holdMicros(), p.headroom(), number(value, 0, 1));
-            default -> throw new Malformed(name.line(), name.column(), "unknown setting " + name.text());
-        };
+    private static Policy policy(Map<String, Atom> values) throws Malformed {
+        Policy usual = Policy.defaults();
+        return new Policy(micros(values.get("threshold-s"), 0, 86_400, usual.thresholdMicros()),
+                micros(values.get("poll-s"), 0.1, 3_600, usual.pollMicros()),
+                (int) number(values.get("budget"), 0, 1_000_000, usual.budget()),
+                micros(values.get("budget-window-s"), 1, 604_800, usual.budgetWindowMicros()),
+                micros(values.get("idle-s"), 1, 86_400, usual.idleMicros()),
+                values.containsKey("spot") ? spotMode(values.get("spot")) : usual.spotMode(),
+                micros(values.get("hold-s"), 1, 60, usual.holdMicros()),
+                number(values.get("headroom"), 0, 0.9, usual.headroom()),
+                number(values.get("patience"), 0, 1, usual.patience()),
+                values.containsKey("deputies") ? on(values.get("deputies")) : usual.deputies());
     }
 
     private static SpotMode spotMode(Atom value) throws Malformed {
@@ -68,11 +63,23 @@
         }
     }
 
-    private static long micros(Atom value, double least, double most) throws Malformed {
-        return Math.round(number(value, least, most) * 1e6);
+    private static boolean on(Atom value) throws Malformed {
+        return switch (value.text()) {
+            case "on" -> true;
+            case "off" -> false;
+            default -> throw new Malformed(value.line(), value.column(), "expected on or off");
+        };
     }
 
-    private static double number(Atom value, double least, double most) throws Malformed {
+    private static long micros(Atom value, double least, double most, long usual) throws Malformed {
+        return value == null ? usual : Math.round(number(value, least, most, 0) * 1e6);
+    }
+
+    /** The usual number where there is no value. */
+    private static double number(Atom value, double least, double most, double usual) throws Malformed {
+        if (value == null) {
+            return usual;
+        }
         try {
             double number = Double.parseDouble(value.text());
             if (number >= least && number <= most) {
--- /dev/null
+++ b/src/main/java/madderrudder/service/ReportDesk.java
@@ -0,0 +1,243 @@
+package madderrudder.service;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import madderrudder.coordination.Deputy;
+import madderrudder.coordination.Election;
+import madderrudder.coordination.Leader;
+import madderrudder.protocol.Json;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.MeshFrame;
+import madderrudder.protocol.MeshFrame.RelayAnswer;
+import madderrudder.protocol.MeshFrame.Relayed;
+import madderrudder.protocol.WorkerCodec;
+import madderrudder.protocol.WorkerReport;
+import madderrudder.transport.HttpResponse;
+import madderrudder.transport.Peers;
+import madderrudder.transport.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Workers' reports at any controller. The leader answers them. Elsewhere a worker is sent to the leader; if it can't reach
+ * it, its report is passed on, or, where the leader can't be reached from here either, answered without commands for as
+ * long as the leader has granted that.
+ */
+final class ReportDesk {
+    private static final Logger LOG = LoggerFactory.getLogger(ReportDesk.class);
+    private static final long HOMELESS_MICROS = 1_500_000;
+    private static final long SETTLE_MICROS = 50_000;
+    private static final int MOST_HOMELESS = 256;
+    /** Well within the four seconds that a worker waits. */
+    private static final long RELAY_MICROS = 1_500_000;
+
+    private final Scheduler scheduler;
+    private final Election election;
+    private final Deputy deputy;
+    private final Detours detours;
+    private final Peers peers;
+    private final String member;
+    private final boolean deputies;
+    private final long leaderlessMicros;
+    private final Supplier<Leader> leader;
+    private final BooleanSupplier storeAnswers;
+    private final Set<Homeless> homeless = new LinkedHashSet<>();
+    private final Map<Long, Consumer<String>> relayed = new HashMap<>();
+    private long relays;
+    private long lastLedMicros;
+    private boolean malformedLogged;
+    private boolean standingIn;
+
+    /** A report that came while nobody led. */
+    private record Homeless(WorkerReport report, byte[] body, Consumer<HttpResponse> answer) {
+    }
+
+    /** What a controller has at hand for this. */
+    record Surroundings(Scheduler scheduler, Election election, Deputy deputy, Detours detours, Peers peers,
+            String member, Supplier<Leader> leader, BooleanSupplier storeAnswers) {
+    }
+
+    /** Nobody leading for {@code leaderlessMicros} is more than a change of leader. */
+    ReportDesk(Surroundings around, boolean deputies, long leaderlessMicros) {
+        scheduler = around.scheduler();
+        election = around.election();
+        deputy = around.deputy();
+        detours = around.detours();
+        peers = around.peers();
+        member = around.member();
+        leader = around.leader();
+        storeAnswers = around.storeAnswers();
+        this.deputies = deputies;
+        this.leaderlessMicros = leaderlessMicros;
+        lastLedMicros = scheduler.nowMicros();
+    }
+
+    void start() {
+        scheduler.every(SETTLE_MICROS, this::settle);
+    }
+
+    void report(byte[] body, Consumer<HttpResponse> answer) {
+        WorkerReport report;
+        try {
+            report = WorkerCodec.readReport(body);
+        } catch (MalformedMessage e) {
+            logMalformed(e);
+            answer.accept(HttpResponse.of(400, Json.error(e.getMessage())));
+            return;
+        }
+        election.heard(report.token(), null);
+        Homeless arrived = new Homeless(report, body, answer);
+        if (leader.get() == null && election.leader() == null && homeless.size() < MOST_HOMELESS) {
+            keep(arrived);
+        } else {
+            decide(arrived);
+        }
+    }
+
+    /**
+     * While nobody leads, a worker sent away comes back a second later at the earliest, and its lease runs.
+     * Its report is kept for a moment instead, and answered once it is clear by whom.
+     */
+    private void keep(Homeless kept) {
+        homeless.add(kept);
+        scheduler.after(HOMELESS_MICROS, () -> {
+            if (homeless.remove(kept)) {
+                follow(kept);
+            }
+        });
+    }
+
+    private void settle() {
+        boolean led = leader.get() != null || election.leader() != null;
+        if (led) {
+            lastLedMicros = scheduler.nowMicros();
+        }
+        if (!homeless.isEmpty() && led) {
+            List<Homeless> settled = List.copyOf(homeless);
+            homeless.clear();
+            settled.forEach(this::decide);
+        }
+    }
+
+    private void decide(Homeless arrived) {
+        Leader here = leader.get();
+        if (here == null) {
+            follow(arrived);
+            return;
+        }
+        here.report(arrived.report(), reply -> {
+            if (reply.orders() == null) {
+                redirect(arrived.answer());
+            } else {
+                arrived.answer().accept(HttpResponse.of(200, WorkerCodec.answer(reply.token(), reply.orders())));
+            }
+        });
+    }
+
+    /** A report at a controller that does not lead. */
+    private void follow(Homeless arrived) {
+        String name = election.leader();
+        boolean heard = name != null && deputy.hears(name);
+        if (!deputies || heard && !served(arrived)) {
+            redirect(arrived.answer());
+        } else if (heard) {
+            relay(name, arrived);
+        } else if (name == null ? scheduler.nowMicros() - lastLedMicros > leaderlessMicros
+                : !storeAnswers.getAsBoolean() || served(arrived)) {
+            standIn(arrived);
+        } else {
+            redirect(arrived.answer());
+        }
+    }
+
+    private boolean served(Homeless arrived) {
+        return detours.serves(arrived.report().machine(), arrived.report().zone(), scheduler.nowMicros());
+    }
+
+    /**
+     * Answers in the leader's stead, with no command, a worker that has something to lose; one without tasks had better
+     * look for the leader.
+     */
+    private void standIn(Homeless arrived) {
+        if (arrived.report().tasks().isEmpty() || !deputy.mayAnswer(election.highestTerm())) {
+            redirect(arrived.answer());
+            return;
+        }
+        if (!standingIn) {
+            standingIn = true;
+            LOG.info("answering workers in the stead of {}", election.leader());
+        }
+        deputy.answers(arrived.report().machine());
+        arrived.answer().accept(HttpResponse.of(200, WorkerCodec.answer(deputy.term(), List.of())));
+    }
+
+    private void relay(String name, Homeless arrived) {
+        standingIn = false;
+        if (!MeshFrame.carries(arrived.body().length)) {
+            standIn(arrived);
+            return;
+        }
+        long number = ++relays;
+        relayed.put(number, body -> arrived.answer().accept(
+                HttpResponse.of(200, body.getBytes(StandardCharsets.UTF_8))));
+        peers.send(name, MeshFrame.encode(new Relayed(member, number, new String(arrived.body(), StandardCharsets.UTF_8))));
+        scheduler.after(RELAY_MICROS, () -> {
+            if (relayed.remove(number) != null) {
+                standIn(arrived);
+            }
+        });
+    }
+
+    /** A report that another controller passes on, to this one as the leader. */
+    void take(Relayed passed) {
+        Leader here = leader.get();
+        if (here == null) {
+            return;
+        }
+        try {
+            WorkerReport report = WorkerCodec.readReport(passed.report().getBytes(StandardCharsets.UTF_8));
+            election.heard(report.token(), null);
+            here.report(report, reply -> {
+                if (reply.orders() != null) {
+                    byte[] body = WorkerCodec.answer(reply.token(), reply.orders());
+                    if (MeshFrame.carries(body.length)) {
+                        peers.send(passed.member(), MeshFrame.encode(
+                                new RelayAnswer(passed.number(), new String(body, StandardCharsets.UTF_8))));
+                    }
+                }
+            });
+        } catch (MalformedMessage e) {
+            logMalformed(e);
+        }
+    }
+
+    /** The leader's answer to a report that was passed on. */
+    void take(RelayAnswer reply) {
+        Consumer<String> open = relayed.remove(reply.number());
+        if (open != null) {
+            open.accept(reply.answer());
+        }
+    }
+
+    private void redirect(Consumer<HttpResponse> answer) {
+        String name = election.leader();
+        boolean other = name != null && !name.equals(member);
+        answer.accept(HttpResponse.of(421, WorkerCodec.redirect(other ? name : null)));
+    }
+
+    private void logMalformed(MalformedMessage cause) {
+        if (malformedLogged) {
+            LOG.debug("malformed report: {}", cause.getMessage());
+        } else {
+            malformedLogged = true;
+            LOG.info("malformed report: {} (further ones at level debug)", cause.getMessage());
+        }
+    }
+}
--- a/src/main/java/madderrudder/transport/Mesh.java
+++ b/src/main/java/madderrudder/transport/Mesh.java
@@ -9,9 +9,9 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.List;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +25,8 @@
     private static final long RETRY_MICROS = 1_000_000;
     private static final long STUCK_MICROS = 3_000_000;
     private static final long ACCEPT_PAUSE_MICROS = 200_000;
-    private static final int MOST_QUEUED = 16;
+    /** A second of relayed reports of a thousand workers; what a peer has not taken by then is late anyway. */
+    private static final int MOST_QUEUED_BYTES = 1 << 20;
     private static final int MOST_INCOMING = 16;
 
     private final Scheduler scheduler;
@@ -33,10 +34,10 @@
     private final AsynchronousServerSocketChannel listener;
     private final int maxFrame;
     private final Consumer<ByteBuffer> receiver;
-    private final List<Link> links = new ArrayList<>();
+    private final Map<String, Link> links = new LinkedHashMap<>();
     private final Deque<Incoming> incoming = new ArrayDeque<>();
 
-    public Mesh(Scheduler scheduler, AsynchronousChannelGroup group, InetSocketAddress listen, List<String> peers,
+    public Mesh(Scheduler scheduler, AsynchronousChannelGroup group, InetSocketAddress listen, Map<String, String> peers,
             int maxFrame, Consumer<ByteBuffer> receiver) throws IOException {
         this.scheduler = scheduler;
         this.group = group;
@@ -45,9 +46,7 @@
         listener = AsynchronousServerSocketChannel.open(group);
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.bind(listen, 16);
-        for (String peer : peers) {
-            links.add(new Link(peer));
-        }
+        peers.forEach((member, address) -> links.put(member, new Link(address)));
     }
 
     public void start() {
@@ -56,8 +55,14 @@
 
     @Override
     public void broadcast(ByteBuffer frame) {
-        for (Link link : links) {
-            link.send(frame.duplicate());
+        links.values().forEach(link -> link.send(frame.duplicate()));
+    }
+
+    @Override
+    public void send(String member, ByteBuffer frame) {
+        Link link = links.get(member);
+        if (link != null) {
+            link.send(frame);
         }
     }
 
@@ -142,6 +147,7 @@
     private final class Link {
         private final String address;
         private final Deque<ByteBuffer> queue = new ArrayDeque<>();
+        private int queuedBytes;
         private AsynchronousSocketChannel channel;
         private boolean connected;
         private boolean writing;
@@ -157,15 +163,16 @@
             if (channel != null && (!connected || writing) && now - busySinceMicros > STUCK_MICROS) {
                 drop();
             }
-            if (queue.size() >= MOST_QUEUED) {
-                queue.pollFirst();
-            }
             queue.addLast(frame);
+            queuedBytes += frame.remaining();
+            while (queuedBytes > MOST_QUEUED_BYTES) {
+                next();
+            }
             if (channel == null) {
                 if (now >= notBeforeMicros) {
                     connect(now);
                 } else {
-                    queue.clear();
+                    clear();
                 }
             } else if (connected && !writing) {
                 write();
@@ -202,7 +209,7 @@
         }
 
         private void write() {
-            ByteBuffer frame = queue.pollFirst();
+            ByteBuffer frame = next();
             if (frame == null) {
                 return;
             }
@@ -237,7 +244,18 @@
             channel = null;
             connected = false;
             writing = false;
+            clear();
+        }
+
+        private ByteBuffer next() {
+            ByteBuffer frame = queue.pollFirst();
+            queuedBytes -= frame == null ? 0 : frame.remaining();
+            return frame;
+        }
+
+        private void clear() {
             queue.clear();
+            queuedBytes = 0;
         }
     }
 }
--- /dev/null
+++ b/src/test/java/madderrudder/coordination/DeputiesTest.java
@@ -0,0 +1,159 @@
+package madderrudder.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import madderrudder.protocol.MeshFrame;
+import madderrudder.protocol.MeshFrame.Answer;
+import madderrudder.protocol.MeshFrame.Answered;
+import madderrudder.protocol.MeshFrame.Echo;
+import madderrudder.protocol.MeshFrame.Standing;
+import madderrudder.transport.Scheduler;
+import org.junit.jupiter.api.Test;
+
+/** Grants on both sides: when a deputy may answer, and when its leader may take a worker for empty. */
+class DeputiesTest {
+    private static final long SECOND = 1_000_000;
+    private static final long LEASE = 10 * SECOND;
+    private static final long LIFE = 7;
+
+    private final Deputies deputies = new Deputies(LEASE);
+    private long nowMicros = 100 * SECOND;
+    private final Scheduler clock = new Scheduler() {
+        @Override
+        public long nowMicros() {
+            return nowMicros;
+        }
+
+        @Override
+        public long wallMicros() {
+            return nowMicros;
+        }
+
+        @Override
+        public Timer after(long delayMicros, Runnable action) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void execute(Runnable action) {
+            action.run();
+        }
+    };
+    private final Deputy deputy = new Deputy(clock, new Safety(LEASE, 20 * SECOND), "n-1", LIFE);
+
+    private static Standing says(long life, int parts) {
+        return new Standing("n-1", life, 5, 3, 0, parts, List.of());
+    }
+
+    private static Echo stamp(long micros) {
+        return new Echo("n-0", 1, micros);
+    }
+
+    private Standing grant(long term, long forMicros, long life, long stampMicros) {
+        return new Standing("n-0", 1, 55, term, forMicros, 0, List.of(new Echo("n-1", life, stampMicros)));
+    }
+
+    @Test
+    void withoutGrantsALeaseIsAllThatIsWaitedFor() {
+        deputies.heard(says(LIFE, 0), stamp(0), 0);
+        assertFalse(deputies.dropped(0, LEASE));
+        assertTrue(deputies.dropped(0, LEASE + 1));
+    }
+
+    /** A deputy that tells of its answers costs nothing beyond its next word; one that can't be heard, its grant. */
+    @Test
+    void aDeputyThatIsHeardCostsNoTime() {
+        deputies.heard(says(LIFE, 0), stamp(0), 0);
+        deputies.granted(new Echo("n-1", LIFE, 0), 15 * SECOND);
+        assertFalse(deputies.dropped(0, LEASE + 1));
+        assertFalse(deputies.dropped(0, 25 * SECOND));
+        assertTrue(deputies.dropped(0, 25 * SECOND + 1));
+        deputies.heard(says(LIFE, 0), stamp(LEASE), LEASE + 1);
+        assertTrue(deputies.dropped(0, LEASE + 2));
+    }
+
+    /** A frame was lost: what it told of is not known. */
+    @Test
+    void aWordWithAPartMissingProvesNothing() {
+        deputies.heard(says(LIFE, 0), stamp(0), 0);
+        deputies.granted(new Echo("n-1", LIFE, 0), 15 * SECOND);
+        deputies.heard(new Answered("n-1", LIFE, 5, List.of(new Answer("m-1", 0))));
+        deputies.heard(says(LIFE, 2), stamp(LEASE), LEASE);
+        assertFalse(deputies.dropped(0, LEASE + 1));
+        deputies.heard(new Answered("n-1", LIFE, 5, List.of(new Answer("m-1", 0))));
+        deputies.heard(says(LIFE, 2), stamp(LEASE), LEASE);
+        assertTrue(deputies.dropped(0, LEASE + 1));
+    }
+
+    /** A process that has heard later words than its predecessor's first proves that one ended; a late word of one does not. */
+    @Test
+    void aRestartEndsTheGrantAndALateWordOfAnEarlierProcessDoesNot() {
+        deputies.heard(says(LIFE, 0), stamp(0), SECOND);
+        deputies.granted(new Echo("n-1", LIFE, 0), 30 * SECOND);
+        deputies.heard(says(LIFE + 1, 0), stamp(SECOND - 1), 2 * SECOND);
+        assertFalse(deputies.dropped(0, 13 * SECOND));
+        deputies.heard(says(LIFE + 1, 0), stamp(3 * SECOND), 4 * SECOND);
+        assertFalse(deputies.dropped(0, 14 * SECOND));
+        assertTrue(deputies.dropped(0, 14 * SECOND + 1));
+        // The late word of the first process neither brings its grant back nor counts as the second one's.
+        deputies.heard(says(LIFE, 0), stamp(2 * SECOND), 5 * SECOND);
+        deputies.granted(new Echo("n-1", LIFE, 0), 31 * SECOND);
+        assertFalse(deputies.dropped(0, 41 * SECOND));
+        assertTrue(deputies.dropped(0, 41 * SECOND + 1));
+    }
+
+    /** Counted from the sending of what the grant answers: held on its way for minutes, it is worth nothing. */
+    @Test
+    void aGrantCountsFromBeforeItWasGiven() {
+        deputy.take(grant(3, 5 * SECOND, LIFE, 100 * SECOND), 3);
+        assertTrue(deputy.mayAnswer(3));
+        nowMicros = 100 * SECOND + 4_990_000;
+        assertFalse(deputy.mayAnswer(3), "the clocks may differ");
+        deputy.take(grant(3, 5 * SECOND, LIFE, 104 * SECOND), 3);
+        assertTrue(deputy.mayAnswer(3));
+        assertFalse(deputy.mayAnswer(4), "a higher term is known");
+        nowMicros = 200 * SECOND;
+        deputy.take(grant(3, 5 * SECOND, LIFE, 104 * SECOND), 3);
+        assertFalse(deputy.mayAnswer(3));
+    }
+
+    @Test
+    void grantsOfOtherProcessesAndTermsAreNone() {
+        deputy.take(grant(3, 5 * SECOND, LIFE + 1, 100 * SECOND), 3);
+        deputy.take(grant(2, 5 * SECOND, LIFE, 100 * SECOND), 3);
+        deputy.take(grant(3, 0, LIFE, 100 * SECOND), 3);
+        assertFalse(deputy.mayAnswer(2) || deputy.mayAnswer(3));
+        // A later term's grant may end sooner than the earlier one's.
+        deputy.take(grant(3, 50 * SECOND, LIFE, 100 * SECOND), 3);
+        deputy.take(grant(4, SECOND, LIFE, 100 * SECOND), 4);
+        nowMicros += 2 * SECOND;
+        assertFalse(deputy.mayAnswer(4));
+    }
+
+    /** Thousands of machines are told of in frames that stay within their bound, and each until its lease is over. */
+    @Test
+    void tellsOfAllThatWasAnsweredWithinALease() {
+        for (int i = 0; i < 9_000; i++) {
+            deputy.answers(String.format("m-%06d", i));
+        }
+        nowMicros += SECOND;
+        deputy.answers("m-000000");
+        List<MeshFrame> frames = deputy.frames(3, 0);
+        List<String> told = new ArrayList<>();
+        for (MeshFrame frame : frames) {
+            assertTrue(MeshFrame.encode(frame).remaining() < MeshFrame.MAX_BYTES);
+            if (frame instanceof Answered part) {
+                part.answers().forEach(answer -> told.add(answer.machine() + " " + answer.agoMillis()));
+            }
+        }
+        assertEquals(9_000, told.size());
+        assertTrue(told.contains("m-000001 1000") && told.contains("m-000000 0"));
+        assertEquals(frames.size() - 1, ((Standing) frames.get(frames.size() - 1)).answeredParts());
+        nowMicros += LEASE + 2 * SECOND;
+        assertEquals(1, deputy.frames(3, 0).size() - 1);
+    }
+}
--- a/src/test/java/madderrudder/sim/Rules.java
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -24,6 +24,8 @@
     private final Set<String> askedToCancel = new HashSet<>();
     private final Map<String, Long> toldDone = new HashMap<>();
     private final Map<TaskId, SimWorker> onMachine = new HashMap<>();
+    /** Workers that have a task in any state in which it may still run; they may have it before it is there. */
+    private final Map<TaskId, SimWorker> held = new HashMap<>();
     private final Map<String, Set<Integer>> completed = new HashMap<>();
     private final Deque<Doomed> doomed = new ArrayDeque<>();
     final List<String> broken = new ArrayList<>();
@@ -103,6 +105,20 @@
         }
     }
 
+    void taskComes(TaskId task, SimWorker machine) {
+        held.put(task, machine);
+    }
+
+    void taskGoes(TaskId task, SimWorker machine) {
+        held.remove(task, machine);
+    }
+
+    /** The machine whose worker has the task within its lease, or null. */
+    String holderOf(TaskId task) {
+        SimWorker holder = held.get(task);
+        return holder == null || holder.leaseOver() ? null : holder.id;
+    }
+
     void taskEnds(TaskId task, SimWorker machine) {
         onMachine.remove(task, machine);
     }
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import madderrudder.bookkeeping.LogPage;
 import madderrudder.bookkeeping.LogReading;
 import madderrudder.protocol.Fields;
@@ -32,6 +33,8 @@
     /** Where the log names a task; at two machines at once, a new leader could start it twice. */
     private final Map<TaskId, String> named = new HashMap<>();
     final List<String> broken = new ArrayList<>();
+    /** Which worker has a task: while one does, it may be placed nowhere else. */
+    Function<TaskId, String> holderOf = task -> null;
     private long revision = 100;
     private long nextHold = 1;
     private boolean down;
@@ -212,12 +215,17 @@
             }
         }
         if (turned) {
+            Map<TaskId, String> before = Map.copyOf(named);
             named.clear();
             for (LogPage.Entry entry : LogReading.of(pages.values()).placed()) {
                 String other = named.put(entry.task(), entry.machine());
                 if (other != null) {
                     broken.add(entry.task() + " is named on " + other + " and on " + entry.machine());
                 }
+                String holder = entry.machine().equals(before.get(entry.task())) ? null : holderOf.apply(entry.task());
+                if (holder != null && !holder.equals(entry.machine())) {
+                    broken.add(entry.task() + " is placed on " + entry.machine() + " while " + holder + " has it");
+                }
             }
         }
     }
