A deputy answers only once its leader has been quiet, so that its own restart costs nothing

Change: a deputy answers only after it has heard nothing of the leader for a quarter of a lease, so that what it says it has heard proves that much more; its new process says how long it has lived, which bounds the end of the one before; and nothing is granted to a process before it is known to be the living one.

--- a/src/main/java/madderrudder/coordination/Deputies.java
+++ b/src/main/java/madderrudder/coordination/Deputies.java
@@ -13,7 +13,8 @@
 final class Deputies {
     private static final long NEVER = Long.MIN_VALUE / 4;
 
-    private final long leaseMicros;
+    private final Safety safety;
+    private final long beginMicros;
     private final Map<String, Member> members = new HashMap<>();
 
     /** One controller; the times are of the leader's clock. */
@@ -30,19 +31,20 @@
         int parts;
     }
 
-    Deputies(long leaseMicros) {
-        this.leaseMicros = leaseMicros;
+    /** The leader's term begins at the moment given. */
+    Deputies(Safety safety, long beginMicros) {
+        this.safety = safety;
+        this.beginMicros = beginMicros;
     }
 
-    /** The process that sent the echo may answer until then, if it hears of it. */
-    void granted(Echo to, long untilMicros) {
+    /** The process that was heard may answer until then, if it hears of it; false if it may be none that lives. */
+    boolean grant(Echo to, long untilMicros) {
         Member member = members.get(to.member());
-        if (member != null && member.life == to.life()) {
-            member.grantedMicros = Math.max(member.grantedMicros, untilMicros);
-        } else {
-            Member unknown = members.computeIfAbsent(to.member(), name -> new Member());
-            unknown.formerMicros = Math.max(unknown.formerMicros, untilMicros);
+        if (member == null || member.life != to.life()) {
+            return false;
         }
+        member.grantedMicros = Math.max(member.grantedMicros, untilMicros);
+        return true;
     }
 
     /** A part of what a controller has answered; the answers themselves are the caller's to note. */
@@ -58,31 +60,38 @@
     /** A controller's word, with what it has heard of this leader's process, or null. */
     void heard(Standing standing, Echo mine, long nowMicros) {
         Member member = members.get(standing.member());
-        if (member == null || member.firstMicros == 0) {
-            member = member == null ? new Member() : member;
+        if (member == null) {
+            member = new Member();
             member.life = standing.life();
             member.firstMicros = nowMicros;
             members.put(standing.member(), member);
-        } else if (member.life != standing.life() && !succeeds(member, mine, nowMicros, standing.life())) {
+        } else if (member.life != standing.life() && !succeeds(member, standing, mine, nowMicros)) {
             return;
         }
         boolean complete = standing.answeredParts() == 0
                 || member.partsStampMicros == standing.stampMicros() && member.parts == standing.answeredParts();
         if (mine != null && complete) {
-            member.toldMicros = Math.max(member.toldMicros, mine.stampMicros());
+            // What it has heard of this term's leader keeps it from answering in its stead for a while more.
+            long quietMicros = mine.stampMicros() >= beginMicros ? Safety.shortened(safety.quietMicros()) : 0;
+            member.toldMicros = Math.max(member.toldMicros, mine.stampMicros() + quietMicros);
         }
     }
 
     /**
      * One process at a time has the name. A process that has heard what was sent after another of the name was first
-     * heard lived later than that one, which so has ended; otherwise it may be the earlier one, late on its way.
+     * heard lived later than that one, which so has ended, before this one began; otherwise it may be the earlier one,
+     * late on its way.
      */
-    private static boolean succeeds(Member member, Echo mine, long nowMicros, long life) {
+    private static boolean succeeds(Member member, Standing standing, Echo mine, long nowMicros) {
         if (mine == null || mine.stampMicros() < member.firstMicros) {
             return false;
         }
-        member.formerMicros = Math.max(member.formerMicros, Math.min(member.grantedMicros, nowMicros));
-        member.life = life;
+        long bornMicros = nowMicros - Safety.shortened(standing.ageMicros());
+        long lastMicros = Math.min(member.grantedMicros, bornMicros);
+        if (lastMicros > member.toldMicros) {
+            member.formerMicros = Math.max(member.formerMicros, lastMicros);
+        }
+        member.life = standing.life();
         member.firstMicros = nowMicros;
         member.toldMicros = NEVER;
         member.grantedMicros = NEVER;
@@ -96,13 +105,13 @@
      * given one for a lease.
      */
     boolean dropped(long answeredMicros, long nowMicros) {
-        long end = answeredMicros + leaseMicros;
+        long end = answeredMicros + safety.leaseMicros();
         if (nowMicros <= end) {
             return false;
         }
         for (Member member : members.values()) {
-            if (nowMicros <= member.formerMicros + leaseMicros
-                    || member.toldMicros < end && nowMicros <= member.grantedMicros + leaseMicros) {
+            if (nowMicros <= member.formerMicros + safety.leaseMicros()
+                    || member.toldMicros < end && nowMicros <= member.grantedMicros + safety.leaseMicros()) {
                 return false;
             }
         }
--- a/src/main/java/madderrudder/coordination/Deputy.java
+++ b/src/main/java/madderrudder/coordination/Deputy.java
@@ -31,10 +31,12 @@
     private final Safety safety;
     private final String member;
     private final long life;
+    private final long bornMicros;
     private final Map<String, Heard> heard = new HashMap<>();
     /** When each machine was last answered; the one answered longest ago comes first. */
     private final Map<String, Long> answered = new LinkedHashMap<>();
     private long term;
+    private String granter;
     private long endMicros;
 
     /** What was last heard of a peer, and when on this controller's clock. */
@@ -47,6 +49,7 @@
         this.safety = safety;
         this.member = member;
         this.life = life;
+        bornMicros = scheduler.nowMicros();
     }
 
     /** A peer's word; if it leads in the highest term known, its grant counts from now on. */
@@ -59,6 +62,7 @@
         long end = mine.stampMicros() + Safety.shortened(standing.grantMicros());
         endMicros = standing.term() == term ? Math.max(endMicros, end) : end;
         term = standing.term();
+        granter = standing.member();
     }
 
     /** What the peer has heard of this very process, or null. */
@@ -77,9 +81,14 @@
         return last != null && scheduler.nowMicros() - last.atMicros() < HEARD_MICROS;
     }
 
-    /** Whether workers may be answered under the term's token: no higher one is known, and the grant lasts. */
+    /**
+     * Whether workers may be answered under the term's token: no higher one is known, the grant lasts, and nothing was
+     * heard for a while of the leader that gave it.
+     */
     public boolean mayAnswer(long highestTerm) {
-        return term > 0 && term == highestTerm && scheduler.nowMicros() < endMicros;
+        long now = scheduler.nowMicros();
+        return term > 0 && term == highestTerm && now < endMicros
+                && now - heard.get(granter).atMicros() > safety.quietMicros();
     }
 
     /** The token to answer with. */
@@ -97,7 +106,7 @@
      * What peers are to be told: how this process stands, and before it, which machines it has answered within the
      * time that a lease lasts.
      */
-    public List<MeshFrame> frames(long highestTerm, long grantMicros) {
+    public List<MeshFrame> frames(long highestTerm, long grantMicros, List<Echo> echoes) {
         long now = scheduler.nowMicros();
         List<MeshFrame> frames = new ArrayList<>();
         List<Answer> part = new ArrayList<>();
@@ -120,7 +129,7 @@
         if (!part.isEmpty()) {
             frames.add(new Answered(member, life, now, part));
         }
-        frames.add(new Standing(member, life, now, highestTerm, grantMicros, frames.size(), echoes()));
+        frames.add(new Standing(member, life, now, now - bornMicros, highestTerm, grantMicros, frames.size(), echoes));
         return frames;
     }
 
--- a/src/main/java/madderrudder/coordination/Leader.java
+++ b/src/main/java/madderrudder/coordination/Leader.java
@@ -178,10 +178,10 @@
         return Math.max(0, from + term.safety.answerMicros() - term.scheduler.nowMicros());
     }
 
-    /** The grant goes out to those who have been heard. */
-    public void granted(List<Echo> to, long grantMicros) {
+    /** Those of the processes heard to whom the grant may go out at this moment. */
+    public List<Echo> granted(List<Echo> heard, long grantMicros) {
         long untilMicros = term.scheduler.nowMicros() + grantMicros;
-        to.forEach(echo -> term.deputies.granted(echo, untilMicros));
+        return heard.stream().filter(echo -> term.deputies.grant(echo, untilMicros)).toList();
     }
 
     /** Another controller has answered machines. */
--- a/src/main/java/madderrudder/coordination/Safety.java
+++ b/src/main/java/madderrudder/coordination/Safety.java
@@ -5,6 +5,7 @@
  * each bound is stretched or cut by more than that.
  */
 public record Safety(long leaseMicros, long answerMicros) {
+    private static final int QUIETS_PER_LEASE = 4;
     private static final long SLACK_MICROS = 1_000_000;
 
     /** Whether a hold may still be counted on, given when its last good extension was sent. */
@@ -17,6 +18,15 @@
         return micros - micros / 500;
     }
 
+    /**
+     * A controller that has heard the leader within this time does not answer in its stead. A controller that ends and is
+     * back sooner than that has answered nobody; a worker whose leader can't be reached has had time to come by before
+     * its lease is over.
+     */
+    public long quietMicros() {
+        return leaseMicros / QUIETS_PER_LEASE;
+    }
+
     /**
      * {@code leaseMicros}: after this silence a worker has surely dropped its tasks.
      * {@code answerMicros}: how long reports may be answered without news from the store, so that a
--- a/src/main/java/madderrudder/coordination/Term.java
+++ b/src/main/java/madderrudder/coordination/Term.java
@@ -41,7 +41,7 @@
         journal = new Journal(scheduler, store, around.member(), number, helmVersion,
                 deployment.state().transactionWrites(), deployment.state().writesPerSecond() * LEADER_SHARE, onLost);
         cluster = new Cluster(deployment);
-        deputies = new Deputies(safety.leaseMicros());
+        deputies = new Deputies(safety, scheduler.nowMicros());
     }
 
     /** Attempt numbers embed the term, so that no other leader ever gives the same one. */
--- a/src/main/java/madderrudder/protocol/MeshFrame.java
+++ b/src/main/java/madderrudder/protocol/MeshFrame.java
@@ -34,10 +34,10 @@
 
     /**
      * How the sender, one process of many under its name, stands with its peers. {@code stampMicros} is its own steady
-     * clock, which peers send back; {@code grantMicros}, if it leads in the term, for how long from then on a peer may
+     * clock, which peers send back; {@code ageMicros}, how long it has lived; {@code grantMicros}, if it leads in the term, for how long from then on a peer may
      * answer workers in its stead; {@code answeredParts}, how many {@link Answered} of the same stamp came before.
      */
-    record Standing(String member, long life, long stampMicros, long term, long grantMicros, int answeredParts,
+    record Standing(String member, long life, long stampMicros, long ageMicros, long term, long grantMicros, int answeredParts,
             List<Echo> echoes) implements MeshFrame {
     }
 
@@ -89,7 +89,7 @@
             }
         } else if (frame instanceof Standing standing) {
             putText(out, standing.member());
-            out.putLong(standing.life()).putLong(standing.stampMicros()).putLong(standing.term())
+            out.putLong(standing.life()).putLong(standing.stampMicros()).putLong(standing.ageMicros()).putLong(standing.term())
                     .putLong(standing.grantMicros()).putInt(standing.answeredParts()).putInt(standing.echoes().size());
             for (Echo echo : standing.echoes()) {
                 putText(out, echo.member());
@@ -121,8 +121,8 @@
             MeshFrame frame = switch (in.get()) {
                 case 1 -> new Pulse(text(in), in.getLong(), text(in), in.get() != 0, in.getInt(), in.getInt());
                 case 2 -> progress(in);
-                case 3 -> new Standing(text(in), in.getLong(), in.getLong(), in.getLong(), in.getLong(), in.getInt(),
-                        list(in, 18, () -> new Echo(text(in), in.getLong(), in.getLong())));
+                case 3 -> new Standing(text(in), in.getLong(), in.getLong(), in.getLong(), in.getLong(), in.getLong(),
+                        in.getInt(), list(in, 18, () -> new Echo(text(in), in.getLong(), in.getLong())));
                 case 4 -> new Answered(text(in), in.getLong(), in.getLong(),
                         list(in, 6, () -> new Answer(text(in), in.getInt())));
                 case 5 -> new Relayed(text(in), in.getLong(), text(in));
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -156,10 +156,9 @@
             peers.broadcast(MeshFrame.encode(new MeshFrame.Progress(leader.number(), leader.someProgress())));
         }
         long grantMicros = leader == null ? 0 : leader.grantMicros();
-        if (grantMicros > 0) {
-            leader.granted(deputy.echoes(), grantMicros);
-        }
-        deputy.frames(election.highestTerm(), grantMicros).forEach(frame -> peers.broadcast(MeshFrame.encode(frame)));
+        List<MeshFrame.Echo> echoes = grantMicros > 0 ? leader.granted(deputy.echoes(), grantMicros) : deputy.echoes();
+        deputy.frames(election.highestTerm(), grantMicros, echoes)
+                .forEach(frame -> peers.broadcast(MeshFrame.encode(frame)));
     }
 
     /** A frame from another controller. */
