--- a/src/main/java/madderrudder/coordination/Deputies.java
+++ b/src/main/java/madderrudder/coordination/Deputies.java
@@ -100,21 +100,24 @@
     }
 
     /**
-     * Whether a worker has surely dropped everything, given when it was last known to be answered: a lease has passed
-     * since, and each controller either has told of all its answers up to the end of that lease, or can't have
-     * given one for a lease.
+     * Whether a worker has surely dropped everything, given when it was last known to be answered. A controller that has
+     * not told of all its answers up to the end of the worker's lease may have prolonged it for as long as it may answer;
+     * the others then have to have told of theirs up to that later end.
      */
     boolean dropped(long answeredMicros, long nowMicros) {
         long end = answeredMicros + safety.leaseMicros();
-        if (nowMicros <= end) {
-            return false;
-        }
         for (Member member : members.values()) {
-            if (nowMicros <= member.formerMicros + safety.leaseMicros()
-                    || member.toldMicros < end && nowMicros <= member.grantedMicros + safety.leaseMicros()) {
-                return false;
+            end = Math.max(end, member.formerMicros + safety.leaseMicros());
+        }
+        for (boolean later = nowMicros > end; later;) {
+            later = false;
+            for (Member member : members.values()) {
+                if (member.toldMicros < end && member.grantedMicros + safety.leaseMicros() > end) {
+                    end = member.grantedMicros + safety.leaseMicros();
+                    later = true;
+                }
             }
         }
-        return true;
+        return nowMicros > end;
     }
 }
--- a/src/test/java/madderrudder/coordination/DeputiesTest.java
+++ b/src/test/java/madderrudder/coordination/DeputiesTest.java
@@ -81,6 +81,22 @@
         assertFalse(deputies.dropped(3 * SECOND, 13 * SECOND + 1));
     }
 
+    /**
+     * What one deputy may have answered unheard keeps a worker for longer, and another may have answered it then: found
+     * by the model, after each deputy had been judged alone.
+     */
+    @Test
+    void whatOneMayHaveAnsweredIsWaitedForWithTheOther() {
+        deputies.heard(says(LIFE, 0), stamp(0), 0);
+        assertTrue(deputies.grant(new Echo("n-1", LIFE, 0), 8 * SECOND));
+        deputies.heard(new Standing("n-2", 9, 5, 0, 3, 0, 0, List.of()), stamp(8 * SECOND), 8 * SECOND);
+        assertTrue(deputies.grant(new Echo("n-2", 9, 0), 15 * SECOND));
+        assertFalse(deputies.dropped(0, 18 * SECOND + 1), "n-2 has told of its answers up to 10.5 s only");
+        assertTrue(deputies.dropped(0, 25 * SECOND + 1));
+        deputies.heard(new Standing("n-2", 9, 6, 0, 3, 0, 0, List.of()), stamp(18 * SECOND), 18 * SECOND);
+        assertTrue(deputies.dropped(0, 18 * SECOND + 1));
+    }
+
     /** A frame was lost: what it told of is not known. */
     @Test
     void aWordWithAPartMissingProvesNothing() {
