--- a/src/main/java/madderrudder/protocol/MeshFrame.java
+++ b/src/main/java/madderrudder/protocol/MeshFrame.java
@@ -37,8 +37,8 @@
      * clock, which peers send back; {@code ageMicros}, how long it has lived; {@code grantMicros}, if it leads in the term, for how long from then on a peer may
      * answer workers in its stead; {@code answeredParts}, how many {@link Answered} of the same stamp came before.
      */
-    record Standing(String member, long life, long stampMicros, long ageMicros, long term, long grantMicros, int answeredParts,
-            List<Echo> echoes) implements MeshFrame {
+    record Standing(String member, long life, long stampMicros, long ageMicros, long term, long grantMicros,
+            int answeredParts, List<Echo> echoes) implements MeshFrame {
     }
 
     /** The stamp last heard of a process of a peer. */
@@ -89,8 +89,8 @@
             }
         } else if (frame instanceof Standing standing) {
             putText(out, standing.member());
-            out.putLong(standing.life()).putLong(standing.stampMicros()).putLong(standing.ageMicros()).putLong(standing.term())
-                    .putLong(standing.grantMicros()).putInt(standing.answeredParts()).putInt(standing.echoes().size());
+            out.putLong(standing.life()).putLong(standing.stampMicros()).putLong(standing.ageMicros())
+                    .putLong(standing.term()).putLong(standing.grantMicros()).putInt(standing.answeredParts()).putInt(standing.echoes().size());
             for (Echo echo : standing.echoes()) {
                 putText(out, echo.member());
                 out.putLong(echo.life()).putLong(echo.stampMicros());
--- a/src/main/java/madderrudder/service/ReportDesk.java
+++ b/src/main/java/madderrudder/service/ReportDesk.java
@@ -38,16 +38,12 @@
     /** Well within the four seconds that a worker waits. */
     private static final long RELAY_MICROS = 1_500_000;
 
+    private final Surroundings around;
     private final Scheduler scheduler;
     private final Election election;
     private final Deputy deputy;
-    private final Detours detours;
-    private final Peers peers;
-    private final String member;
     private final boolean deputies;
     private final long leaderlessMicros;
-    private final Supplier<Leader> leader;
-    private final BooleanSupplier storeAnswers;
     private final Set<Homeless> homeless = new LinkedHashSet<>();
     private final Map<Long, Consumer<String>> relayed = new HashMap<>();
     private long relays;
@@ -66,14 +62,10 @@
 
     /** Nobody leading for {@code leaderlessMicros} is more than a change of leader. */
     ReportDesk(Surroundings around, boolean deputies, long leaderlessMicros) {
+        this.around = around;
         scheduler = around.scheduler();
         election = around.election();
         deputy = around.deputy();
-        detours = around.detours();
-        peers = around.peers();
-        member = around.member();
-        leader = around.leader();
-        storeAnswers = around.storeAnswers();
         this.deputies = deputies;
         this.leaderlessMicros = leaderlessMicros;
         lastLedMicros = scheduler.nowMicros();
@@ -94,7 +86,7 @@
         }
         election.heard(report.token(), null);
         Homeless arrived = new Homeless(report, body, answer);
-        if (leader.get() == null && election.leader() == null && homeless.size() < MOST_HOMELESS) {
+        if (around.leader().get() == null && election.leader() == null && homeless.size() < MOST_HOMELESS) {
             keep(arrived);
         } else {
             decide(arrived);
@@ -115,7 +107,7 @@
     }
 
     private void settle() {
-        boolean led = leader.get() != null || election.leader() != null;
+        boolean led = around.leader().get() != null || election.leader() != null;
         if (led) {
             lastLedMicros = scheduler.nowMicros();
         }
@@ -127,7 +119,7 @@
     }
 
     private void decide(Homeless arrived) {
-        Leader here = leader.get();
+        Leader here = around.leader().get();
         if (here == null) {
             follow(arrived);
             return;
@@ -150,7 +142,7 @@
         } else if (heard) {
             relay(name, arrived);
         } else if (name == null ? scheduler.nowMicros() - lastLedMicros > leaderlessMicros
-                : !storeAnswers.getAsBoolean() || served(arrived)) {
+                : !around.storeAnswers().getAsBoolean() || served(arrived)) {
             standIn(arrived);
         } else {
             redirect(arrived.answer());
@@ -158,7 +150,7 @@
     }
 
     private boolean served(Homeless arrived) {
-        return detours.serves(arrived.report().machine(), arrived.report().zone(), scheduler.nowMicros());
+        return around.detours().serves(arrived.report().machine(), arrived.report().zone(), scheduler.nowMicros());
     }
 
     /**
@@ -185,9 +177,10 @@
             return;
         }
         long number = ++relays;
-        relayed.put(number, body -> arrived.answer().accept(
-                HttpResponse.of(200, body.getBytes(StandardCharsets.UTF_8))));
-        peers.send(name, MeshFrame.encode(new Relayed(member, number, new String(arrived.body(), StandardCharsets.UTF_8))));
+        relayed.put(number, text -> arrived.answer().accept(
+                HttpResponse.of(200, text.getBytes(StandardCharsets.UTF_8))));
+        String body = new String(arrived.body(), StandardCharsets.UTF_8);
+        around.peers().send(name, MeshFrame.encode(new Relayed(around.member(), number, body)));
         scheduler.after(RELAY_MICROS, () -> {
             if (relayed.remove(number) != null) {
                 standIn(arrived);
@@ -197,7 +190,7 @@
 
     /** A report that another controller passes on, to this one as the leader. */
     void take(Relayed passed) {
-        Leader here = leader.get();
+        Leader here = around.leader().get();
         if (here == null) {
             return;
         }
@@ -208,7 +201,7 @@
                 if (reply.orders() != null) {
                     byte[] body = WorkerCodec.answer(reply.token(), reply.orders());
                     if (MeshFrame.carries(body.length)) {
-                        peers.send(passed.member(), MeshFrame.encode(
+                        around.peers().send(passed.member(), MeshFrame.encode(
                                 new RelayAnswer(passed.number(), new String(body, StandardCharsets.UTF_8))));
                     }
                 }
@@ -228,7 +221,7 @@
 
     private void redirect(Consumer<HttpResponse> answer) {
         String name = election.leader();
-        boolean other = name != null && !name.equals(member);
+        boolean other = name != null && !name.equals(around.member());
         answer.accept(HttpResponse.of(421, WorkerCodec.redirect(other ? name : null)));
     }
 
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -178,6 +179,97 @@
         assertFalse(keptThroughZoneCut(seed, false), "leases last without deputies");
     }
 
+    /** What goes wrong beside a zone cut off, each from the moment of the cut on. */
+    private enum Beside {
+        /** A deputy stands still for longer than its grant, and goes on answering. */
+        FROZEN_DEPUTY {
+            @Override
+            void begin(World world, String leader, List<String> inside) {
+                world.sim.after(8 * World.SECOND, () -> world.freeze(inside.get(0), 55 * World.SECOND));
+            }
+        },
+        /** Users are told of cancellations by others, and some tasks end by themselves. */
+        CANCELLATIONS {
+            @Override
+            void begin(World world, String leader, List<String> inside) {
+                world.sim.after(2 * World.SECOND, world.users::cancelEverything);
+            }
+        },
+        /** Controllers of the zone end, and are back under the same name within their grant. */
+        RESTARTED_DEPUTIES {
+            @Override
+            void begin(World world, String leader, List<String> inside) {
+                inside.forEach(name -> world.sim.after(12 * World.SECOND, () -> world.crash(name, 2 * World.SECOND)));
+            }
+        },
+        /** The leader loses its hold, and leads again in a higher term, its first grants still out. */
+        LEADER_AND_BACK {
+            @Override
+            void begin(World world, String leader, List<String> inside) {
+                world.net.cut(leader, "store", true, 8 * World.SECOND);
+                world.names().stream().filter(name -> !name.equals(leader))
+                        .forEach(name -> world.net.cut(name, "store", false, 20 * World.SECOND));
+            }
+        },
+        /** Nobody hears anybody but workers, who reach all. */
+        ALL_APART {
+            @Override
+            void begin(World world, String leader, List<String> inside) {
+                world.peersRefuse(60 * World.SECOND);
+                world.names().forEach(name -> world.net.cut(name, "store", true, 45 * World.SECOND));
+            }
+        },
+        /** Workers lose one way after the other, and move between those who answer. */
+        MOVING_WORKERS {
+            @Override
+            void begin(World world, String leader, List<String> inside) {
+                for (int i = 0; i < 10; i++) {
+                    String node = world.names().get(i % 3);
+                    world.sim.after(4 * i * World.SECOND, () -> world.cutFromWorkers(node, true, 5 * World.SECOND));
+                }
+            }
+        };
+
+        abstract void begin(World world, String leader, List<String> inside);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Beside.class)
+    void noRuleBreaksWhateverComesBesideACutZone(Beside beside) {
+        for (long seed = 1; seed <= 4; seed++) {
+            World world = calmDay(seed, true);
+            String zone = otherZone(world);
+            List<String> inside = world.names().stream().filter(name -> world.zoneOf(name).equals(zone)).toList();
+            if (beside != Beside.ALL_APART) {
+                world.cutZone(zone, seed % 2 == 0, 70 * World.SECOND);
+            }
+            beside.begin(world, world.leader(), inside);
+            int starts = world.rules.starts;
+            world.run(200 * World.SECOND);
+            assertEquals(List.of(), world.rules.broken);
+            assertEquals(List.of(), world.store.broken);
+            assertTrue(beside == Beside.CANCELLATIONS || world.rules.starts > starts, "nothing started any more");
+        }
+    }
+
+    /** While nobody can be elected, and the leader has ended, workers keep their tasks within the grants. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void leasesOutliveALeaderThatEndsWhileTheStoreIsAway(long seed) {
+        World world = calmDay(seed, true);
+        Map<SimWorker, Long> before = world.busyIn("east");
+        before.putAll(world.busyIn("west"));
+        world.store.outage(40 * World.SECOND);
+        world.run(62 * World.SECOND);
+        world.crash(world.leader(), 60 * World.SECOND);
+        world.run(100 * World.SECOND);
+        assertTrue(before.size() > 3, "only " + before.size() + " machines have tasks");
+        assertTrue(before.entrySet().stream().allMatch(e -> e.getKey().gone() || e.getKey().session() == e.getValue()));
+        world.run(160 * World.SECOND);
+        assertEquals(List.of(), world.rules.broken);
+        assertEquals(List.of(), world.store.broken);
+    }
+
     /** Workers that can't reach the leader are served through controllers that can: they get starts too. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
