--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -265,6 +265,7 @@
         if (leader != null && leader.ready()) {
             leader.writeState(out);
         }
+        reports.write(out);
         metrics.write(out);
     }
 
--- a/src/main/java/madderrudder/service/ReportDesk.java
+++ b/src/main/java/madderrudder/service/ReportDesk.java
@@ -1,5 +1,7 @@
 package madderrudder.service;
 
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -50,6 +52,7 @@
     private long lastLedMicros;
     private boolean malformedLogged;
     private boolean standingIn;
+    private long stoodIn;
 
     /** A report that came while nobody led. */
     private record Homeless(WorkerReport report, byte[] body, Consumer<HttpResponse> answer) {
@@ -71,6 +74,12 @@
         lastLedMicros = scheduler.nowMicros();
     }
 
+    /** How many reports were answered in a leader's stead, and how many were passed on to one, since the start. */
+    void write(JsonGenerator out) throws IOException {
+        out.writeNumberField("reports_stood_in", stoodIn);
+        out.writeNumberField("reports_passed_on", relays);
+    }
+
     void start() {
         scheduler.every(SETTLE_MICROS, this::settle);
     }
@@ -166,6 +175,7 @@
             standingIn = true;
             LOG.info("answering workers in the stead of {}", election.leader());
         }
+        stoodIn++;
         deputy.answers(arrived.report().machine());
         arrived.answer().accept(HttpResponse.of(200, WorkerCodec.answer(deputy.term(), List.of())));
     }
@@ -190,13 +200,13 @@
 
     /** A report that another controller passes on, to this one as the leader. */
     void take(Relayed passed) {
-        Leader here = around.leader().get();
-        if (here == null) {
-            return;
-        }
         try {
             WorkerReport report = WorkerCodec.readReport(passed.report().getBytes(StandardCharsets.UTF_8));
             election.heard(report.token(), null);
+            Leader here = around.leader().get();
+            if (here == null) {
+                return;
+            }
             here.report(report, reply -> {
                 if (reply.orders() != null) {
                     byte[] body = WorkerCodec.answer(reply.token(), reply.orders());
