A machine is taken to have its images still after its worker's lease has ended

The protocol says that a lease's end takes the tasks. Change: neither a new session nor a lapse forgets images.

--- a/src/main/java/madderrudder/coordination/Fleet.java
+++ b/src/main/java/madderrudder/coordination/Fleet.java
@@ -191,7 +191,6 @@
             if (!machine.lapsed && counts && term.deputies.dropped(machine.answeredMicros, nowMicros)) {
                 LOG.info("{} has been silent for a lease", machine.id);
                 machine.lapsed = true;
-                machine.forgetImages();
                 releaseAll(machine);
             }
         }
--- a/src/main/java/madderrudder/coordination/Machine.java
+++ b/src/main/java/madderrudder/coordination/Machine.java
@@ -116,7 +116,7 @@
         return reported && nowMicros - heardMicros >= 3 * reportMicros + 1_000_000;
     }
 
-    /** The image has been here lately, and the newer ones leave room for it. */
+    /** The image has been here lately, and the newer ones leave room for it. The end of a lease takes tasks only. */
     boolean hasImage(String image) {
         return images.containsKey(image);
     }
@@ -136,10 +136,6 @@
         return images.size();
     }
 
-    void forgetImages() {
-        images.clear();
-    }
-
     /** Errors of different jobs within a while point at the machine. */
     void fault(String job, long nowMicros, long whileMicros) {
         faults.values().removeIf(at -> nowMicros - at > whileMicros);
--- a/src/main/java/madderrudder/coordination/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/WorkerDesk.java
@@ -91,7 +91,6 @@
         LOG.info("{} begins a new session", machine.id);
         fleet.releaseOwn(machine);
         machine.unforgettable.clear();
-        machine.forgetImages();
     }
 
     /** Follows the states of the tasks that the worker has; true if room came free. */
