What completes while progress is being written is kept as done before its worker forgets it

Progress of a job is written by chunks; the end of a task that came in while its chunk was on its way was cleared with it, so that the next change wrote nothing and yet let its worker forget the task. Ruled out: deputies and relays (the answer came from the leader), late starts, the reading of progress. Change: a change lets go only of tasks whose chunk it writes; what completed meanwhile stays unwritten.

--- a/src/main/java/madderrudder/coordination/JobBook.java
+++ b/src/main/java/madderrudder/coordination/JobBook.java
@@ -166,10 +166,14 @@
         } else {
             job.done.set(assignment.task.index());
         }
-        job.unwritten.set(assignment.task.index() / JobRecords.CHUNK);
+        job.unwritten.set(chunkOf(assignment));
         save(job);
     }
 
+    private static int chunkOf(Assignment assignment) {
+        return assignment.task.index() / JobRecords.CHUNK;
+    }
+
     /** A job's user waits for its end; until then its workers keep what they have completed. */
     private void save(Job job) {
         term.journal.add(new JobChange(job), job.complete() ? Lane.SOON : Lane.LATER);
@@ -178,7 +182,7 @@
     /** Writes a job's progress, or moves it to the finished ones once all of it is done. */
     private final class JobChange implements Change {
         private final Job job;
-        private List<Assignment> written = List.of();
+        private Set<Assignment> written = Set.of();
         private BitSet chunks = new BitSet();
         private boolean finishing;
 
@@ -199,15 +203,15 @@
         @Override
         public List<Write> writes() {
             String id = job.spec.id();
-            written = new ArrayList<>();
+            written = new LinkedHashSet<>();
+            chunks = (BitSet) job.unwritten.clone();
+            finishing = job.complete();
             for (Assignment assignment : job.assignments) {
-                if (assignment.completed) {
+                if (assignment.completed && (finishing || chunks.get(chunkOf(assignment)))) {
                     written.add(assignment);
                 }
             }
-            chunks = (BitSet) job.unwritten.clone();
             List<Write> writes = new ArrayList<>();
-            finishing = job.complete();
             if (finishing) {
                 writes.add(Write.drop(Keys.live(id)));
                 writes.add(Write.put(Keys.finished(id), JobRecords.finished(JobState.DONE, job.spec.tasks())));
@@ -224,6 +228,13 @@
         @Override
         public void committed() {
             job.unwritten.andNot(chunks);
+            // What completed while this was on its way is not in what was written. It once passed for written: its worker
+            // was told to forget it, and a new leader started it again, beyond its team's limit.
+            for (Assignment assignment : job.assignments) {
+                if (assignment.completed && !written.contains(assignment)) {
+                    job.unwritten.set(chunkOf(assignment));
+                }
+            }
             if (finishing) {
                 end(job);
             }
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -35,7 +35,8 @@
 
     /** A longer search: {@code mvn test -Dtest=RandomDaysTest -Dseeds=500 -DlargeSeeds=50}. */
     static LongStream seeds() {
-        return LongStream.rangeClosed(1, Long.getLong("seeds", 16));
+        // The last one had a task forgotten that was not yet kept as done.
+        return LongStream.concat(LongStream.rangeClosed(1, Long.getLong("seeds", 16)), LongStream.of(272));
     }
 
     static LongStream largeSeeds() {
--- a/src/test/java/madderrudder/sim/Rules.java
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import madderrudder.coordination.Deployment;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Resources;
@@ -34,6 +35,8 @@
     final SimGangs gangs = new SimGangs();
     /** Where the store's log names a task: a start must be found there by whoever leads next. */
     Function<TaskId, String> placeOf = task -> null;
+    /** Whether the store keeps that a task is done: until then its worker must. */
+    Predicate<TaskId> keepsDone = task -> true;
 
     /** A task of a cancelled job, and when it must be gone. */
     private record Doomed(TaskId task, long byMicros) {
@@ -123,6 +126,13 @@
         onMachine.remove(task, machine);
     }
 
+    /** A worker is told to forget a task that is done. */
+    void taskForgotten(TaskId task, SimWorker machine) {
+        if (!keepsDone.test(task)) {
+            breaks("forgotten_early", task + " on " + machine.id);
+        }
+    }
+
     void taskCompletes(TaskId task) {
         completed.computeIfAbsent(task.job(), job -> new HashSet<>()).add(task.index());
     }
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -1,6 +1,7 @@
 package madderrudder.sim;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import madderrudder.bookkeeping.JobRecords;
 import madderrudder.bookkeeping.LogPage;
 import madderrudder.bookkeeping.LogReading;
 import madderrudder.protocol.Fields;
@@ -230,6 +232,21 @@
         }
     }
 
+    /** Whether the store keeps that the task is done; of a job that is over nothing need be kept. */
+    boolean keepsDone(TaskId task) {
+        int chunk = task.index() / JobRecords.CHUNK;
+        Entry progress = keys.get("p/" + task.job() + "/" + chunk);
+        BitSet done = new BitSet();
+        try {
+            if (progress != null) {
+                JobRecords.readProgress(Json.readObject(progress.data()), chunk, done);
+            }
+        } catch (MalformedMessage e) {
+            throw new AssertionError(e);
+        }
+        return done.get(task.index()) || !keys.containsKey("l/" + task.job());
+    }
+
     /** On which machine the log names the task, or null. */
     String placeOf(TaskId task) {
         return named.get(task);
--- a/src/test/java/madderrudder/sim/SimWorker.java
+++ b/src/test/java/madderrudder/sim/SimWorker.java
@@ -298,6 +298,9 @@
                 }
                 default -> {
                     if (task != null && !task.active()) {
+                        if (task.why.equals("done")) {
+                            rules.taskForgotten(task.id, this);
+                        }
                         tasks.remove(key);
                     }
                 }
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -66,6 +66,7 @@
         rules = new Rules(sim, deployment);
         store = new SimStore(sim, 24, 16 * 1024);
         rules.placeOf = store::placeOf;
+        rules.keepsDone = store::keepsDone;
         store.holderOf = rules::holderOf;
         for (int i = 0; i < 3; i++) {
             addresses.put("node-" + i, "10.0.0." + (i + 1) + ":8080");
