--- a/bench/Regress.java
+++ b/bench/Regress.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -83,9 +84,9 @@
     public static void main(String[] args) throws InterruptedException {
         try {
             List<Site> sites = readSites();
-            String command = args.length > 0 && !args[0].startsWith("-") ? args[0] : "run";
-            List<String> rest = Arrays.asList(args).subList(command.equals("run") && args.length > 0
-                    && !args[0].equals("run") || args.length == 0 ? 0 : 1, args.length);
+            boolean named = args.length > 0 && !args[0].startsWith("-");
+            String command = named ? args[0] : "run";
+            List<String> rest = Arrays.asList(args).subList(named ? 1 : 0, args.length);
             boolean fine = switch (command) {
                 case "run" -> play(sites, options(rest));
                 case "compare" -> compare(sites, entries(rest));
@@ -128,8 +129,8 @@
         if (!Files.isExecutable(kit.resolve(BENCH))) {
             throw new Unable("no bench at " + kit.resolve(BENCH) + ": name the users' kit with --kit");
         }
-        List<String> files = sites.stream().filter(site -> site.usual() || line.hasOption("all"))
-                .map(site -> kit.resolve(site.file()).toString()).toList();
+        List<Site> played = sites.stream().filter(site -> site.usual() || line.hasOption("all")).toList();
+        List<String> files = played.stream().map(site -> kit.resolve(site.file()).toString()).toList();
         String why = line.getOptionValue("why", "Regression run before a landing.");
         Set<Path> before = new HashSet<>(journal());
         List<String> score = new ArrayList<>(List.of("score"));
@@ -148,9 +149,8 @@
             }
         }
         boolean fine = compare(sites, written);
-        for (Site site : sites) {
-            if ((site.usual() || line.hasOption("all"))
-                    && written.stream().noneMatch(entry -> entry.score() >= 0 && site.name().equals(entry.site()))) {
+        for (Site site : played) {
+            if (written.stream().noneMatch(entry -> entry.score() >= 0 && site.name().equals(entry.site()))) {
                 System.out.println("No score of " + site.name() + " was written.");
                 fine = false;
             }
@@ -241,7 +241,7 @@
             out.writeEndObject();
             out.writeRaw('\n');
         }
-        Files.move(fresh, FIGURES, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        Files.move(fresh, FIGURES, StandardCopyOption.REPLACE_EXISTING);
         return true;
     }
 
