--- /dev/null
+++ b/src/test/java/madderrudder/cli/RegressIT.java
@@ -0,0 +1,143 @@
+package madderrudder.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import javax.tools.ToolProvider;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The regression command against a bench that writes what the test wants into the journal. */
+@Timeout(60)
+class RegressIT {
+    private static final Path JAVA = Path.of(System.getProperty("java.home"), "bin", "java");
+    private static final Path JAR = Path.of("target", "madderrudder.jar").toAbsolutePath();
+    private static final String FIGURES = """
+            {"sites":[{"name":"site-a","file":"next/a.toml","usual":true,"quick":{"score":0.7,"entry":"old1"}},
+             {"name":"site-b","file":"b.toml","usual":false}]}""";
+
+    @TempDir
+    static Path classes;
+
+    @TempDir
+    Path folder;
+
+    /** What a command left: its exit status and all that it printed. */
+    private record Ended(int status, String output) {
+    }
+
+    /** Compiled once: the launcher of source files would do it for each run. */
+    @BeforeAll
+    static void compile() {
+        assertEquals(0, ToolProvider.getSystemJavaCompiler().run(null, null, null, "-cp", JAR.toString(), "-d",
+                classes.toString(), Path.of("bench", "Regress.java").toString()));
+    }
+
+    @BeforeEach
+    void lay() throws IOException {
+        Files.createDirectories(folder.resolve("journal"));
+        Files.createDirectories(folder.resolve("bench"));
+        Files.writeString(folder.resolve("bench/figures.json"), FIGURES);
+    }
+
+    private Ended regress(String... arguments) throws IOException, InterruptedException {
+        Path output = folder.resolve("output");
+        List<String> command = new ArrayList<>(List.of(JAVA.toString(), "-cp", JAR + File.pathSeparator + classes,
+                "Regress"));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command).directory(folder.toFile()).redirectErrorStream(true)
+                .redirectOutput(output.toFile()).start();
+        assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+        return new Ended(process.exitValue(), Files.readString(output));
+    }
+
+    /** An entry as the bench writes it. */
+    private static String entry(String id, boolean ok, String score, String rules, String fault) {
+        return """
+                {"id":"%s","cmd":"score","argv":["a.toml","--quick"],"ok":%b,"error":%s,"site":"site-a","score":%s,
+                 "days":[{"name":"rough","G":0.7,"score":0.7,"rules":%s,"fault":%s,"restarts":2.0,"aims":[["x",0.5]]}]}"""
+                .formatted(id, ok, ok ? "null" : "\"the run ended early\\nmore\"", score, rules, fault);
+    }
+
+    private void write(String id, String text) throws IOException {
+        Files.writeString(folder.resolve("journal/20261201T000000-" + id + ".json"), text);
+    }
+
+    /** Lays a kit whose bench writes the entry, or nothing. */
+    private Path kit(String entry, int status) throws IOException {
+        Path bench = folder.resolve("kit/more/fleet/bin/fleetbench");
+        Files.createDirectories(bench.getParent());
+        Files.writeString(folder.resolve("entry"), entry);
+        Files.writeString(bench, "#!/bin/sh\necho \"$@\" >> asked\n[ -s entry ] && [ $1 = score ] && "
+                + "cp entry journal/20261201T000001-new1.json\nexit " + status + "\n");
+        assertTrue(bench.toFile().setExecutable(true));
+        return folder.resolve("kit");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', nullValues = "-", value = {
+        "0|true|0.671|{}|null|-0.029", "1|true|0.669|{}|null|FALL", "1|true|0.7|{\"ran_twice\":4}|null|ran_twice",
+        "1|true|0.7|{}|\"too slow\"|too slow", "1|false|null|{}|null|the run ended early", "0|true|0.9|{}|null|2 ended"})
+    void judgesWhatTheJournalSays(int status, boolean ok, String score, String rules, String fault, String says)
+            throws Exception {
+        write("abcd", entry("abcd", ok, score, rules, fault));
+        Ended ended = regress("compare", "abcd");
+        assertEquals(status, ended.status(), ended.output());
+        assertTrue(ended.output().contains(says), ended.output());
+    }
+
+    @Test
+    void playsTheUsualSitesAndHunts() throws Exception {
+        write("old2", entry("old2", true, "0.1", "{}", "null"));
+        Path kit = kit(entry("new1", true, "0.71", "{}", "null"), 0);
+        Ended ended = regress("--hunt", "3", "--kit", kit.toString(), "--why", "to see");
+        assertEquals(0, ended.status(), ended.output());
+        assertTrue(ended.output().contains("+0.010"), ended.output());
+        String site = kit.resolve("next/a.toml").toString();
+        assertEquals(List.of("score " + site + " --quick --why to see", "hunt " + site + " --days 3 --why to see"),
+                Files.readAllLines(folder.resolve("asked")));
+    }
+
+    /** A bench that writes nothing, or reports a failure, is no good run. */
+    @Test
+    void aRunWithoutResultIsNoGoodRun() throws Exception {
+        Ended silent = regress("--kit", kit("", 0).toString());
+        assertEquals(1, silent.status(), silent.output());
+        assertTrue(silent.output().contains("No score of site-a"), silent.output());
+        assertEquals(1, regress("--kit", kit(entry("new1", true, "0.71", "{}", "null"), 3).toString()).status());
+    }
+
+    @Test
+    void saysThatTheKitIsNotThere() throws Exception {
+        Ended ended = regress("--quick");
+        assertEquals(2, ended.status());
+        assertTrue(ended.output().contains("no bench at ../given/kit"), ended.output());
+        assertEquals(2, regress("--quick", "--full").status());
+        assertEquals(2, regress("compare", "none").status());
+    }
+
+    @Test
+    void recordsAGoodScoreOnly() throws Exception {
+        write("bad1", entry("bad1", true, "0.7", "{\"quota\":1}", "null"));
+        write("good", entry("good", true, "0.75", "{}", "null"));
+        assertEquals(2, regress("record", "bad1").status());
+        assertEquals(FIGURES, Files.readString(folder.resolve("bench/figures.json")));
+        Ended ended = regress("record", "good");
+        assertEquals(0, ended.status(), ended.output());
+        assertTrue(ended.output().contains("site-a, quick: 0.7500 of entry good"), ended.output());
+        Ended later = regress("compare", "good");
+        assertTrue(later.output().contains("+0.000"), later.output());
+    }
+}
