--- a/src/main/java/madderrudder/coordination/GuessedRunTimes.java
+++ b/src/main/java/madderrudder/coordination/GuessedRunTimes.java
@@ -1,27 +1,20 @@
 package madderrudder.coordination;
 
-import java.util.HashMap;
-import java.util.Map;
+import madderrudder.estimates.ClassRatios;
 import madderrudder.estimates.Run;
 
 /** The owners' guesses, which are often wrong, on some days mostly one way: what tasks of a class took corrects them. */
 final class GuessedRunTimes implements RunTimes {
-    private static final double MOST_RATIO = 4;
-    private static final double LEARNING = 0.02;
-
-    private final Map<String, Double> ratios = new HashMap<>();
+    private final ClassRatios ratios = new ClassRatios();
 
     @Override
     public void ran(Run run) {
-        if (run.complete() && run.guessMicros() > 0) {
-            double ratio = Math.min(MOST_RATIO, Math.max(1 / MOST_RATIO, (double) run.tookMicros() / run.guessMicros()));
-            ratios.merge(run.like().jobClass(), ratio, (old, now) -> old + LEARNING * (now - old));
-        }
+        ratios.observe(run);
     }
 
     @Override
     public long expectedMicros(Job job) {
-        return (long) (job.spec.estimateMicros() * ratios.getOrDefault(job.spec.jobClass(), 1.0));
+        return ratios.expectedMicros(job.spec.jobClass(), job.spec.estimateMicros());
     }
 
     @Override
--- a/src/main/java/madderrudder/coordination/TakeOver.java
+++ b/src/main/java/madderrudder/coordination/TakeOver.java
@@ -13,8 +13,7 @@
 /** Reads everything a new leader needs, by ranges, until all of it has been read. */
 final class TakeOver {
     private static final long RETRY_MICROS = 200_000;
-    private static final List<String> PREFIXES =
-            List.of(Keys.LIVE, Keys.PROGRESS, Keys.PAGES, Keys.RENTALS, Keys.RUN_TIMES);
+    private static final List<String> PREFIXES = List.of(Keys.LIVE, Keys.PROGRESS, Keys.PAGES, Keys.RENTALS);
     private static final List<String> SINGLES = List.of(Keys.BUDGET, Keys.OWNED);
 
     /** What the store holds; {@code liveRevision} is from where to follow the live jobs. */
@@ -38,8 +37,12 @@
 
     static void read(Term term, Consumer<Found> done) {
         TakeOver reading = new TakeOver(term, done);
-        reading.open = PREFIXES.size() + SINGLES.size();
-        for (String prefix : PREFIXES) {
+        List<String> prefixes = new ArrayList<>(PREFIXES);
+        if (term.learned != null) {
+            prefixes.add(Keys.RUN_TIMES);
+        }
+        reading.open = prefixes.size() + SINGLES.size();
+        for (String prefix : prefixes) {
             reading.ranges.put(prefix, new ArrayList<>());
             reading.page(prefix, "");
         }
--- a/src/main/java/madderrudder/estimates/EstimatePages.java
+++ b/src/main/java/madderrudder/estimates/EstimatePages.java
@@ -9,11 +9,11 @@
 import java.util.BitSet;
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.zip.CRC32C;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
+import madderrudder.estimates.Estimator.Grade;
 import madderrudder.estimates.Likeness.Kind;
 
 /**
@@ -26,6 +26,11 @@
     private static final byte VERSION = 1;
     private static final int HEAD_BYTES = 1 + Long.BYTES;
     private static final int MOST_BYTES = 1 << 20;
+    private static final int KIND = 1;
+    private static final int GRADE = 2;
+    /** Of an entry: its sort and level, the lengths of its names, and a number. */
+    private static final int FIXED_BYTES = 2 + 4 * Integer.BYTES;
+    private static final int MOST_CHAR_BYTES = 3;
     /** When too many kinds for a page are tried again with fewer. */
     private static final double FEWER = 0.75;
 
@@ -43,7 +48,43 @@
         }
     }
 
-    private record Entry(Kind kind, Evidence evidence) {
+    /** Of a page: what is known of a kind, or what estimates of a grade have held. The other pair is null. */
+    private record Entry(Kind kind, Evidence evidence, Grade grade, Scores scores) {
+        int mostBytes() {
+            return kind != null ? evidence.mostBytes() + FIXED_BYTES
+                    + MOST_CHAR_BYTES * (kind.jobClass().length() + kind.team().length() + kind.image().length())
+                    : scores.mostBytes() + FIXED_BYTES + MOST_CHAR_BYTES * grade.jobClass().length();
+        }
+
+        void write(ByteBuffer out) {
+            out.put((byte) (kind != null ? KIND : GRADE));
+            out.put((byte) (kind != null ? kind.level() : grade.level()).ordinal());
+            if (kind != null) {
+                put(out, kind.jobClass());
+                put(out, kind.team());
+                put(out, kind.image());
+                out.putInt(kind.size());
+                evidence.write(out);
+            } else {
+                put(out, grade.jobClass());
+                out.putInt(grade.evidence());
+                scores.write(out);
+            }
+        }
+
+        static Entry read(ByteBuffer in) throws Refused {
+            byte what = in.get();
+            Level level = Level.values()[in.get()];
+            if (what == KIND) {
+                Kind kind = new Kind(level, text(in), text(in), text(in), in.getInt());
+                return new Entry(kind, Evidence.read(in, level.window), null, null);
+            }
+            if (what != GRADE) {
+                throw new Refused("torn: an entry is of no known sort");
+            }
+            Grade grade = new Grade(text(in), level, in.getInt());
+            return new Entry(null, null, grade, Scores.read(in));
+        }
     }
 
     /** {@code pageBytes} is the longest that a page's text may be. */
@@ -53,11 +94,13 @@
         this.pageBytes = pageBytes;
     }
 
-    /** The run's kinds have changed, and so have their pages. */
+    /** A run was taken in: its kinds have changed, and what was held of its class, and so have their pages. */
     public void changed(Likeness like) {
         for (Level level : List.of(Level.WORK, Level.TEAM, Level.CLASS, Level.ALL)) {
             changed.set(page(like.kind(level)));
         }
+        changed.set(page(like.jobClass()));
+        changed.set(page(""));
     }
 
     /** The next page to be written, in turn from the given one, or -1 if none has changed. */
@@ -72,16 +115,32 @@
                 kind.size()).hashCode(), pages);
     }
 
+    /** All grades of a class are on one page. */
+    private int page(String jobClass) {
+        return Math.floorMod(jobClass.hashCode(), pages);
+    }
+
     /** The page as it is now; from here on it has not changed. */
     public String write(int page) {
         changed.clear(page);
         List<Entry> entries = new ArrayList<>();
-        for (Map.Entry<Kind, Evidence> entry : estimator.kinds().entrySet()) {
-            if (page(entry.getKey()) == page) {
-                entries.add(new Entry(entry.getKey(), entry.getValue()));
+        estimator.scores().forEach((grade, known) -> {
+            if (page(grade.jobClass()) == page) {
+                entries.add(new Entry(null, null, grade, known));
             }
-        }
+        });
+        estimator.kinds().forEach((kind, evidence) -> {
+            if (page(kind) == page) {
+                entries.add(new Entry(kind, evidence, null, null));
+            }
+        });
         Collections.reverse(entries);
+        return fitting(entries);
+    }
+
+    /** Kinds come before grades: bounds are wider without those, but estimates are no worse. */
+    private String fitting(List<Entry> all) {
+        List<Entry> entries = all;
         while (true) {
             String text = encode(entries);
             if (text.length() <= pageBytes || entries.isEmpty()) {
@@ -92,48 +151,35 @@
     }
 
     private static String encode(List<Entry> entries) {
-        int most = Integer.BYTES;
-        for (Entry entry : entries) {
-            most += entry.evidence().mostBytes() + mostBytes(entry.kind());
-        }
-        ByteBuffer out = ByteBuffer.allocate(most);
+        ByteBuffer out = ByteBuffer.allocate(Integer.BYTES + entries.stream().mapToInt(Entry::mostBytes).sum());
         out.putInt(entries.size());
-        for (Entry entry : entries) {
-            Kind kind = entry.kind();
-            out.put((byte) kind.level().ordinal());
-            put(out, kind.jobClass());
-            put(out, kind.team());
-            put(out, kind.image());
-            out.putInt(kind.size());
-            entry.evidence().write(out);
-        }
+        entries.forEach(entry -> entry.write(out));
         return Base64.getEncoder().encodeToString(packed(out.flip()));
     }
 
-    private static int mostBytes(Kind kind) {
-        return 1 + 4 * Integer.BYTES
-                + 3 * (kind.jobClass().length() + kind.team().length() + kind.image().length());
-    }
-
     private static void put(ByteBuffer out, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         out.putInt(bytes.length).put(bytes);
     }
 
     private static byte[] packed(ByteBuffer plain) {
-        CRC32C sum = new CRC32C();
-        sum.update(plain.array(), 0, plain.limit());
         Deflater deflater = new Deflater(Deflater.BEST_SPEED);
         deflater.setInput(plain.array(), 0, plain.limit());
         deflater.finish();
         ByteArrayOutputStream out = new ByteArrayOutputStream(plain.limit() / 2);
-        out.writeBytes(ByteBuffer.allocate(HEAD_BYTES).put(VERSION).putLong(sum.getValue()).array());
         byte[] part = new byte[4_096];
         while (!deflater.finished()) {
             out.write(part, 0, deflater.deflate(part));
         }
         deflater.end();
-        return out.toByteArray();
+        byte[] body = out.toByteArray();
+        return ByteBuffer.allocate(HEAD_BYTES + body.length).put(VERSION).putLong(sum(body)).put(body).array();
+    }
+
+    private static long sum(byte[] bytes) {
+        CRC32C sum = new CRC32C();
+        sum.update(bytes);
+        return sum.getValue();
     }
 
     /** Takes over what a page of an earlier leader says; nothing of it is taken if it can't be read as a whole. */
@@ -146,7 +192,13 @@
             throw new Refused("torn: " + e);
         }
         Collections.reverse(entries);
-        entries.forEach(entry -> estimator.kinds().put(entry.kind(), entry.evidence()));
+        for (Entry entry : entries) {
+            if (entry.kind() != null) {
+                estimator.kinds().put(entry.kind(), entry.evidence());
+            } else {
+                estimator.scores().put(entry.grade(), entry.scores());
+            }
+        }
     }
 
     private static ByteBuffer unpacked(byte[] packed) throws Refused, DataFormatException {
@@ -156,9 +208,14 @@
             throw new Refused("of version " + version + ", not " + VERSION);
         }
         long sum = in.getLong();
+        byte[] body = new byte[in.remaining()];
+        in.get(body);
+        if (sum(body) != sum) {
+            throw new Refused("torn: its sum does not match");
+        }
         Inflater inflater = new Inflater();
         try {
-            inflater.setInput(in);
+            inflater.setInput(body);
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             byte[] part = new byte[4_096];
             while (!inflater.finished()) {
@@ -168,24 +225,17 @@
                 }
                 out.write(part, 0, count);
             }
-            CRC32C found = new CRC32C();
-            found.update(out.toByteArray());
-            if (found.getValue() != sum) {
-                throw new Refused("torn: its sum does not match");
-            }
             return ByteBuffer.wrap(out.toByteArray());
         } finally {
             inflater.end();
         }
     }
 
-    private static List<Entry> decode(ByteBuffer in) {
+    private static List<Entry> decode(ByteBuffer in) throws Refused {
         int count = in.getInt();
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            Level level = Level.values()[in.get()];
-            Kind kind = new Kind(level, text(in), text(in), text(in), in.getInt());
-            entries.add(new Entry(kind, Evidence.read(in, level.window)));
+            entries.add(Entry.read(in));
         }
         return entries;
     }
--- a/src/main/java/madderrudder/estimates/Estimator.java
+++ b/src/main/java/madderrudder/estimates/Estimator.java
@@ -13,8 +13,8 @@
 /**
  * Learns from tasks that have run how long others will. Each level that has evidence takes n / (n + {@link #DOUBT}) of
  * the weight that more alike levels have left over, so that a new kind of job begins with what it resembles and comes
- * to stand on its own; what all of them leave over is the owner's guess. See {@code docs/estimates.md} for the ways
- * that were weighed and what they reached.
+ * to stand on its own; what all of them leave over is the owner's guess. The bounds are what such estimates have held
+ * lately ({@link Scores}). See {@code docs/estimates.md} for the ways that were weighed and what they reached.
  *
  * <p>Has no clock and no store, and is not safe for use by several threads. Memory is bounded by the numbers of kinds and
  * jobs it is given; the least recently used is forgotten.
@@ -22,37 +22,59 @@
 public final class Estimator {
     /** So many runs of a level weigh as much as all that is less alike. */
     private static final double DOUBT = 4;
-    /** Tasks of one job are more alike than anything else. */
+    /** Tasks of one job are mostly more alike than anything else; in some classes no more than others are. */
     private static final double DOUBT_OF_SIBLINGS = 1;
+    private static final double DOUBT_OF_STRANGE_SIBLINGS = 16;
     /** Ratios are kept as whole numbers; this is a ratio of one. */
     private static final long ONE = 1_024;
-    private static final long MOST_RATIO = 64 * ONE;
-    private static final long LEAST_RATIO = ONE / 64;
+    /** No ratio is kept, and no bound given, further off than this. */
+    private static final long MOST = 64;
     private static final long MILLI = 1_000;
-    /** The bounds that observations are judged by, whatever users ask. */
+    /** The bounds that observations are judged by, whatever users ask; between them and the median lies a unit. */
     private static final double JUDGED_SHARE = 0.8;
+    private static final double LEAST_UNIT = 0.02;
     /** The time itself has to foretell better than the ratio by this much, after so many jobs. */
     private static final double BETTER = 0.9;
     private static final int JUDGED_ENOUGH = 8;
     private static final double MOST_LOSS = 3;
+    /** So many scores of a class's own are preferred to those of all. */
+    private static final int SCORES_ENOUGH = 100;
+    private static final int LEAST_SCORES = 20;
     /** A run that was stopped before nearly all others end says nothing. */
     private static final double LEAST_SAID = 0.05;
     private static final double GOLDEN = 0.6180339887498949;
-    /** A machine is set aside whose tasks on average take as long as one in fifty should. */
-    private static final double SLOW_DEVIATIONS = 2;
-    private static final int SLOW_RUNS = 3;
-    private static final int TYPE_RUNS = 32;
-    private static final double TYPE_SPEED = 0.1;
+    /** A machine is set aside whose tasks on average end this many units late. */
+    private static final double SLOW_UNITS = 1.5;
+    private static final int SLOW_RUNS = 4;
+    private static final double MACHINE_FORGETTING = 0.1;
+    private static final int TYPE_RUNS = 64;
+    private static final double TYPE_FORGETTING = 0.01;
+    private static final double TYPE_SPEED = 0.05;
     private static final double MOST_TYPE_SPEED = Math.log(4);
-    /** Between the bounds of {@link #JUDGED_SHARE} lie so many standard deviations of what is spread normally. */
-    private static final double DEVIATIONS_BETWEEN = 2.56;
+    private static final List<Level> KINDS = List.of(Level.WORK, Level.TEAM, Level.CLASS, Level.ALL);
 
+    private final Way way;
     private final Map<Kind, Evidence> kinds;
+    private final Map<Grade, Scores> scores;
     private final Map<String, Siblings> jobs;
-    private final Paces machines = new Paces();
-    private final Paces types = new Paces();
+    private final Paces machines = new Paces(MACHINE_FORGETTING);
+    private final Paces types = new Paces(TYPE_FORGETTING);
     private final Counts counts = new Counts();
 
+    /** The ways to learn that were weighed; {@code docs/estimates.md} has what each of them reached. */
+    public enum Way {
+        /** All levels, by their evidence, of what has run lately. */
+        BLEND,
+        /** The most alike level with enough runs alone, of what has run lately. */
+        NEAREST,
+        /** All levels, by their evidence, of all that has ever run. */
+        FOREVER;
+
+        int window(Level level) {
+            return this == FOREVER ? Integer.MAX_VALUE : level.window;
+        }
+    }
+
     /** Tasks of one job. */
     private static final class Siblings {
         private final Sketch times = new Sketch(Level.JOB.window);
@@ -60,7 +82,11 @@
         private long lastAttempt = -1;
     }
 
-    /** What has happened since this began; counts of runs, but for the last two, which are of jobs. */
+    /** Estimates that are about as good: of a class, or of all where its name is empty, by so many runs of the level. */
+    record Grade(String jobClass, Level level, int evidence) {
+    }
+
+    /** What has happened since this began; counts of runs. */
     public static final class Counts {
         private long learned;
         private long stopped;
@@ -87,7 +113,13 @@
     }
 
     public Estimator(int mostKinds, int mostJobs) {
+        this(mostKinds, mostJobs, Way.BLEND);
+    }
+
+    public Estimator(int mostKinds, int mostJobs, Way way) {
+        this.way = way;
         kinds = bounded(mostKinds);
+        scores = bounded(mostKinds);
         jobs = bounded(mostJobs);
     }
 
@@ -100,6 +132,19 @@
         };
     }
 
+    /** A level's part in an estimate. */
+    private record Part(Level level, Sketch sketch, double scale, double weight) {
+    }
+
+    /** What is foretold of a task: the mixture and, as logarithms, how far its bounds lie from its median. */
+    private record Foretold(Mixture mixture, double median, double unitBelow, double unitAbove, Level level, int runs) {
+        /** How far the time lies from the median, in units; below 0 if it is less. */
+        double score(double micros) {
+            double off = Math.log(micros / median);
+            return off / (off < 0 ? unitBelow : unitAbove);
+        }
+    }
+
     /** Takes a run in; false if it is absurd, or one more task of a gang's attempt that has been seen. */
     public boolean observe(Run run) {
         if (!run.sane()) {
@@ -113,42 +158,37 @@
             return false;
         }
         siblings.lastAttempt = run.attempt();
-        Mixture byRatio = mixture(like, run.guessMicros(), Basis.RATIO);
-        Mixture byTime = mixture(like, run.guessMicros(), Basis.TIME);
-        boolean first = siblings.seen == 0;
-        Mixture chosen = basis(like, run.guessMicros()) == Basis.TIME ? byTime : byRatio;
-        double tookMicros;
-        if (run.complete()) {
-            if (slow(run, chosen)) {
+        Foretold foretold = foretold(like, run.guessMicros(), basis(like, run.guessMicros()));
+        double tookMicros = run.tookMicros() / speed(run.type());
+        if (!run.complete()) {
+            tookMicros = whole(tookMicros, foretold);
+        } else if (foretold != null) {
+            if (slow(run, foretold, tookMicros)) {
                 counts.setAside++;
                 return true;
             }
-            tookMicros = run.tookMicros() / speed(run.type());
-            if (first && !chosen.empty()) {
-                judge(like, run.guessMicros(), tookMicros, byRatio, byTime, chosen);
-            }
-        } else {
-            tookMicros = whole(run.tookMicros() / speed(run.type()), chosen);
-            if (tookMicros == 0) {
-                return true;
+            judge(like, foretold, tookMicros);
+            if (siblings.seen == 0) {
+                compare(run, foretold, tookMicros);
+            } else if (Integer.bitCount(siblings.seen) == 1) {
+                compareSiblings(run, tookMicros);
             }
         }
-        learn(run, siblings, tookMicros);
+        if (tookMicros > 0) {
+            learn(run, siblings, tookMicros);
+        }
         return true;
     }
 
     /** Whether the machine is so much slower than others that nothing is learned from what runs on it. */
-    private boolean slow(Run run, Mixture expected) {
-        if (expected.empty()) {
-            return false;
-        }
-        double low = expected.quantile((1 - JUDGED_SHARE) / 2);
-        double high = expected.quantile((1 + JUDGED_SHARE) / 2);
-        double off = Math.log(run.tookMicros() / expected.quantile(0.5));
-        double deviation = Math.log(high / low) / DEVIATIONS_BETWEEN;
+    private boolean slow(Run run, Foretold foretold, double tookMicros) {
+        double off = Math.log(run.tookMicros() / foretold.median());
         types.add(run.type(), Math.max(-MOST_TYPE_SPEED, Math.min(MOST_TYPE_SPEED, off)));
-        machines.add(run.machine(), Math.max(-MOST_LOSS, Math.min(MOST_LOSS, off / deviation)));
-        return machines.beyondOthers(run.machine(), SLOW_RUNS) > SLOW_DEVIATIONS;
+        // What lies above the median may be the faulty machine's own runs; the other side is not.
+        double unit = Math.min(foretold.unitBelow(), foretold.unitAbove());
+        machines.add(run.machine(), Math.max(-MOST_LOSS,
+                Math.min(MOST_LOSS, Math.log(tookMicros / foretold.median()) / unit)));
+        return machines.beyondOthers(run.machine(), SLOW_RUNS) > SLOW_UNITS;
     }
 
     /** How many times as long as elsewhere tasks take on machines of the type. */
@@ -161,42 +201,69 @@
      * A run that was stopped stands for one of those that take longer than it did, each time for another of them, as in
      * the estimator of Kaplan and Meier; 0 if it says nothing.
      */
-    private double whole(double ranMicros, Mixture expected) {
+    private double whole(double ranMicros, Foretold foretold) {
         counts.stopped++;
-        if (expected.empty() || expected.below(ranMicros) < LEAST_SAID) {
+        if (foretold == null || foretold.mixture().below(ranMicros) < LEAST_SAID) {
             return 0;
         }
         double part = counts.stopped * GOLDEN;
-        return expected.quantileBeyond(ranMicros, part - Math.floor(part));
+        return foretold.mixture().quantileBeyond(ranMicros, part - Math.floor(part));
     }
 
-    private void judge(Likeness like, long guessMicros, double tookMicros, Mixture byRatio, Mixture byTime,
-            Mixture chosen) {
-        int side = tookMicros > chosen.quantile((1 + JUDGED_SHARE) / 2) ? 1
-                : tookMicros < chosen.quantile((1 - JUDGED_SHARE) / 2) ? -1 : 0;
+    /** Keeps how far off the estimate was, for the bounds of later ones. */
+    private void judge(Likeness like, Foretold foretold, double tookMicros) {
         counts.judged++;
-        counts.within += side == 0 ? 1 : 0;
-        double ratioLoss = loss(byRatio, tookMicros);
-        double timeLoss = loss(byTime, tookMicros);
+        counts.within += side(like, foretold, tookMicros) == 0 ? 1 : 0;
+        double score = foretold.score(tookMicros);
+        for (Grade grade : grades(like, foretold)) {
+            scores.computeIfAbsent(grade, g -> new Scores()).add(score);
+        }
+    }
+
+    /** 1 beyond the upper bound, -1 below the lower one, and 0 between. */
+    private int side(Likeness like, Foretold foretold, double tookMicros) {
+        return tookMicros > high(like, foretold, JUDGED_SHARE) ? 1
+                : tookMicros < low(like, foretold, JUDGED_SHARE) ? -1 : 0;
+    }
+
+    /** Of a job's first task: whether the ratio or the time would have been better, and whether all has changed. */
+    private void compare(Run run, Foretold foretold, double tookMicros) {
+        int side = side(run.like(), foretold, tookMicros);
+        double ratioLoss = loss(run, Basis.RATIO, tookMicros);
+        double timeLoss = loss(run, Basis.TIME, tookMicros);
         for (Level level : KINDS) {
-            Evidence evidence = kinds.get(like.kind(level));
+            Evidence evidence = kinds.get(run.like().kind(level));
             if (evidence != null) {
                 evidence.judge(ratioLoss, timeLoss);
-                counts.shifts += evidence.shifted(side, ratio(guessMicros, tookMicros), time(tookMicros)) ? 1 : 0;
+                if (way != Way.FOREVER) {
+                    boolean shifted = evidence.shifted(side, ratio(run, tookMicros), time(tookMicros));
+                    counts.shifts += shifted ? 1 : 0;
+                }
             }
         }
     }
 
-    private static double loss(Mixture foretold, double tookMicros) {
-        return foretold.empty() ? MOST_LOSS
-                : Math.min(MOST_LOSS, Math.abs(Math.log(foretold.quantile(0.5) / tookMicros)));
+    /** Of a job's further tasks: whether those that have ended foretold better than other jobs did. */
+    private void compareSiblings(Run run, double tookMicros) {
+        Evidence evidence = kinds.get(run.like().kind(Level.CLASS));
+        if (evidence != null) {
+            Basis basis = basis(run.like(), run.guessMicros());
+            evidence.judgeSiblings(loss(foretold(parts(run.like(), run.guessMicros(), basis, DOUBT_OF_SIBLINGS)), tookMicros)
+                    - loss(foretold(parts(run.like(), run.guessMicros(), basis, DOUBT_OF_STRANGE_SIBLINGS)), tookMicros));
+        }
     }
 
-    private static final List<Level> KINDS = List.of(Level.WORK, Level.TEAM, Level.CLASS, Level.ALL);
+    private double loss(Run run, Basis basis, double tookMicros) {
+        return loss(foretold(run.like(), run.guessMicros(), basis), tookMicros);
+    }
+
+    private static double loss(Foretold foretold, double tookMicros) {
+        return foretold == null ? MOST_LOSS : Math.min(MOST_LOSS, Math.abs(Math.log(foretold.median() / tookMicros)));
+    }
 
-    private static long ratio(long guessMicros, double tookMicros) {
-        return guessMicros == 0 ? 0
-                : Math.max(LEAST_RATIO, Math.min(MOST_RATIO, Math.round(ONE * tookMicros / guessMicros)));
+    private static long ratio(Run run, double tookMicros) {
+        return run.guessMicros() == 0 ? 0
+                : Math.max(ONE / MOST, Math.min(ONE * MOST, Math.round(ONE * tookMicros / run.guessMicros())));
     }
 
     private static long time(double tookMicros) {
@@ -212,8 +279,8 @@
         siblings.seen++;
         if (Integer.bitCount(siblings.seen) == 1) {
             for (Level level : KINDS) {
-                kinds.computeIfAbsent(run.like().kind(level), kind -> new Evidence(level.window))
-                        .add(ratio(run.guessMicros(), tookMicros), time(tookMicros));
+                kinds.computeIfAbsent(run.like().kind(level), kind -> new Evidence(way.window(level)))
+                        .add(ratio(run, tookMicros), time(tookMicros));
             }
         }
         counts.learned++;
@@ -232,27 +299,33 @@
         return Basis.RATIO;
     }
 
-    /** A level's part in an estimate. */
-    private record Part(Level level, Sketch sketch, double scale, double weight) {
+    /** What a level with so many runs takes of the weight that there is. */
+    private double weight(int runs, double doubt) {
+        return way == Way.NEAREST ? (runs >= JUDGED_ENOUGH ? 1 : 0) : runs / (runs + doubt);
     }
 
     private List<Part> parts(Likeness like, long guessMicros, Basis basis) {
-        List<Part> parts = new ArrayList<>(5);
+        Evidence evidence = kinds.get(like.kind(Level.CLASS));
+        return parts(like, guessMicros, basis, evidence == null || evidence.siblingsWorse <= 0 ? DOUBT_OF_SIBLINGS
+                : DOUBT_OF_STRANGE_SIBLINGS);
+    }
+
+    private List<Part> parts(Likeness like, long guessMicros, Basis basis, double doubtOfSiblings) {
+        List<Part> parts = new ArrayList<>(6);
         double rest = 1;
         Siblings siblings = jobs.get(like.job());
         if (siblings != null && siblings.seen > 0) {
-            int count = siblings.times.count();
-            parts.add(new Part(Level.JOB, siblings.times, MILLI, count / (count + DOUBT_OF_SIBLINGS)));
-            rest -= parts.get(0).weight();
+            double weight = weight(siblings.times.count(), doubtOfSiblings);
+            parts.add(new Part(Level.JOB, siblings.times, MILLI, weight));
+            rest -= weight;
         }
         for (Level level : KINDS) {
             Evidence evidence = kinds.get(like.kind(level));
             // The times of other classes say nothing of this one's, but how wrong their owners' guesses are does.
-            boolean byTime = guessMicros == 0 || basis == Basis.TIME && level != Level.ALL;
-            if (evidence != null && (byTime ? evidence.times : evidence.ratios).count() > 0
-                    && !(guessMicros == 0 && level == Level.ALL)) {
+            boolean byTime = basis == Basis.TIME && level != Level.ALL;
+            if (evidence != null && (byTime || guessMicros > 0)) {
                 Sketch sketch = byTime ? evidence.times : evidence.ratios;
-                double weight = rest * sketch.count() / (sketch.count() + DOUBT);
+                double weight = rest * weight(sketch.count(), DOUBT);
                 parts.add(new Part(level, sketch, byTime ? MILLI : (double) guessMicros / ONE, weight));
                 rest -= weight;
             }
@@ -260,13 +333,10 @@
         if (guessMicros > 0) {
             parts.add(new Part(Level.NONE, null, guessMicros, rest));
         }
+        parts.removeIf(part -> part.weight() <= 0);
         return parts;
     }
 
-    private Mixture mixture(Likeness like, long guessMicros, Basis basis) {
-        return mixture(parts(like, guessMicros, basis));
-    }
-
     private static Mixture mixture(List<Part> parts) {
         Mixture mixture = new Mixture();
         for (Part part : parts) {
@@ -279,24 +349,78 @@
         return mixture;
     }
 
-    public Estimate estimate(Question question) {
-        Basis basis = basis(question.like(), question.guessMicros());
-        List<Part> parts = parts(question.like(), question.guessMicros(), basis);
+    /** Null if nothing is known. */
+    private Foretold foretold(Likeness like, long guessMicros, Basis basis) {
+        return foretold(parts(like, guessMicros, basis));
+    }
+
+    private static Foretold foretold(List<Part> parts) {
         if (parts.isEmpty()) {
-            return Estimate.UNKNOWN;
+            return null;
         }
         Mixture mixture = mixture(parts);
-        double speed = speed(question.type());
-        double ran = question.ranMicros() / speed;
-        double side = (1 - question.share()) / 2;
+        double median = mixture.quantile(0.5);
+        double below = Math.log(median / mixture.quantile((1 - JUDGED_SHARE) / 2));
+        double above = Math.log(mixture.quantile((1 + JUDGED_SHARE) / 2) / median);
         Part most = parts.get(0);
         for (Part part : parts) {
             most = part.weight() > most.weight() ? part : most;
         }
-        return new Estimate(micros(mixture.quantileBeyond(ran, 0.5) * speed),
-                micros(mixture.quantileBeyond(ran, side) * speed),
-                micros(mixture.quantileBeyond(ran, 1 - side) * speed), question.share(),
-                most.sketch() == null ? 0 : most.sketch().count(), most.level(), basis);
+        return new Foretold(mixture, median, Math.max(LEAST_UNIT, below), Math.max(LEAST_UNIT, above), most.level(),
+                most.sketch() == null ? 0 : most.sketch().count());
+    }
+
+    private static List<Grade> grades(Likeness like, Foretold foretold) {
+        int evidence = Integer.SIZE - Integer.numberOfLeadingZeros(foretold.runs());
+        return List.of(new Grade(like.jobClass(), foretold.level(), evidence), new Grade("", foretold.level(), evidence));
+    }
+
+    /** What estimates like this one have held: the class's own if there are enough. Null if nothing is known. */
+    private Scores scores(Likeness like, Foretold foretold) {
+        List<Grade> grades = grades(like, foretold);
+        Scores own = scores.get(grades.get(0));
+        if (own != null && own.count() >= SCORES_ENOUGH) {
+            return own;
+        }
+        Scores all = scores.get(grades.get(1));
+        return all != null && all.count() >= LEAST_SCORES ? all : null;
+    }
+
+    private double high(Likeness like, Foretold foretold, double share) {
+        Scores known = scores(like, foretold);
+        double beyond = (1 - share) / 2;
+        double bound = known == null ? foretold.mixture().quantile(1 - beyond)
+                : foretold.median() * Math.exp(known.unitsAbove(beyond) * foretold.unitAbove());
+        return Math.min(bound, MOST * foretold.median());
+    }
+
+    private double low(Likeness like, Foretold foretold, double share) {
+        Scores known = scores(like, foretold);
+        double beyond = (1 - share) / 2;
+        double bound = known == null ? foretold.mixture().quantile(beyond)
+                : foretold.median() * Math.exp(-known.unitsBelow(beyond) * foretold.unitBelow());
+        return Math.max(bound, foretold.median() / MOST);
+    }
+
+    public Estimate estimate(Question question) {
+        Likeness like = question.like();
+        Basis basis = basis(like, question.guessMicros());
+        Foretold foretold = foretold(like, question.guessMicros(), basis);
+        if (foretold == null) {
+            return Estimate.UNKNOWN;
+        }
+        double speed = speed(question.type());
+        double ran = question.ranMicros() / speed;
+        double median = foretold.mixture().quantileBeyond(ran, 0.5);
+        double low = low(like, foretold, question.share());
+        double high = high(like, foretold, question.share());
+        if (ran > 0) {
+            // The bounds of what has run for some time are those of what takes longer.
+            low = Math.max(ran, Math.min(low, median));
+            high = Math.max(high, foretold.mixture().quantileBeyond(ran, (1 + question.share()) / 2));
+        }
+        return new Estimate(micros(median * speed), micros(low * speed), micros(high * speed), question.share(),
+                foretold.runs(), foretold.level(), basis);
     }
 
     private static long micros(double micros) {
@@ -305,14 +429,17 @@
 
     /** Why the estimate is what it is: each level's runs, its share of the weight, and its median in seconds. */
     public String explain(Question question) {
-        Basis basis = basis(question.like(), question.guessMicros());
+        Likeness like = question.like();
+        Basis basis = basis(like, question.guessMicros());
         StringBuilder text = new StringBuilder("by " + basis.name().toLowerCase(Locale.ROOT));
-        for (Part part : parts(question.like(), question.guessMicros(), basis)) {
-            Mixture alone = mixture(List.of(part));
+        for (Part part : parts(like, question.guessMicros(), basis)) {
             text.append(String.format(Locale.ROOT, "; %s: %d runs, weight %.2f, median %.3f s",
                     part.level().name().toLowerCase(Locale.ROOT), part.sketch() == null ? 0 : part.sketch().count(),
-                    part.weight(), alone.quantile(0.5) / 1e6));
+                    part.weight(), mixture(List.of(part)).quantile(0.5) / 1e6));
         }
+        Foretold foretold = foretold(like, question.guessMicros(), basis);
+        Scores known = foretold == null ? null : scores(like, foretold);
+        text.append(known == null ? "; bounds as it is spread" : "; bounds as " + known.count() + " such estimates held");
         double speed = speed(question.type());
         if (speed != 1) {
             text.append(String.format(Locale.ROOT, "; machines of type %s take %.2f times as long", question.type(),
@@ -324,7 +451,8 @@
     /** Takes in what another has learned, of other runs, up to this one's bounds. */
     public void merge(Estimator other) {
         other.kinds.forEach((kind, evidence) -> kinds
-                .computeIfAbsent(kind, k -> new Evidence(k.level().window)).merge(evidence));
+                .computeIfAbsent(kind, k -> new Evidence(way.window(k.level()))).merge(evidence));
+        other.scores.forEach((grade, known) -> scores.computeIfAbsent(grade, g -> new Scores()).merge(known));
     }
 
     public Counts counts() {
@@ -358,4 +486,9 @@
     Map<Kind, Evidence> kinds() {
         return kinds;
     }
+
+    /** What estimates have held, the least recently used first. */
+    Map<Grade, Scores> scores() {
+        return scores;
+    }
 }
--- a/src/main/java/madderrudder/estimates/Evidence.java
+++ b/src/main/java/madderrudder/estimates/Evidence.java
@@ -16,6 +16,8 @@
     /** Means of |ln(foretold / true)|, recent ones counting more. */
     float ratioLoss;
     float timeLoss;
+    /** Mean of how much less tasks of the same job foretold than all others did; below 0 if they foretold better. */
+    float siblingsWorse;
     private int judged;
     private int streak;
     private long[] streakRatios;
@@ -38,6 +40,10 @@
         times.add(time);
     }
 
+    void judgeSiblings(double worse) {
+        siblingsWorse += FORGETTING * ((float) worse - siblingsWorse);
+    }
+
     int judged() {
         return judged;
     }
@@ -83,16 +89,17 @@
         if (both > 0) {
             ratioLoss = (ratioLoss * judged + other.ratioLoss * other.judged) / both;
             timeLoss = (timeLoss * judged + other.timeLoss * other.judged) / both;
+            siblingsWorse = (siblingsWorse * judged + other.siblingsWorse * other.judged) / both;
         }
         judged = both;
     }
 
     int mostBytes() {
-        return ratios.mostBytes() + times.mostBytes() + 3 * Integer.BYTES;
+        return ratios.mostBytes() + times.mostBytes() + 4 * Integer.BYTES;
     }
 
     void write(ByteBuffer out) {
-        out.putFloat(ratioLoss).putFloat(timeLoss).putInt(judged);
+        out.putFloat(ratioLoss).putFloat(timeLoss).putFloat(siblingsWorse).putInt(judged);
         ratios.write(out);
         times.write(out);
     }
@@ -100,10 +107,12 @@
     static Evidence read(ByteBuffer in, int window) {
         float ratioLoss = in.getFloat();
         float timeLoss = in.getFloat();
+        float siblingsWorse = in.getFloat();
         int judged = in.getInt();
         Evidence evidence = new Evidence(Sketch.read(in, window), Sketch.read(in, window));
         evidence.ratioLoss = ratioLoss;
         evidence.timeLoss = timeLoss;
+        evidence.siblingsWorse = siblingsWorse;
         evidence.judged = judged;
         return evidence;
     }
--- a/src/main/java/madderrudder/estimates/Paces.java
+++ b/src/main/java/madderrudder/estimates/Paces.java
@@ -10,7 +10,6 @@
 final class Paces {
     /** As many names as the largest fleet has machines; the least used is forgotten. */
     private static final int MOST_NAMES = 4_096;
-    private static final double FORGETTING = 0.1;
     private static final double FORGETTING_ALL = 0.02;
 
     private final Map<String, Mean> means = new LinkedHashMap<>(64, 0.75f, true) {
@@ -20,6 +19,7 @@
         }
     };
     private final Mean all = new Mean(FORGETTING_ALL);
+    private final double forgetting;
 
     private static final class Mean {
         private final double forgetting;
@@ -36,10 +36,15 @@
         }
     }
 
+    /** Of the mean of a name, each further run takes so much of what was before. */
+    Paces(double forgetting) {
+        this.forgetting = forgetting;
+    }
+
     void add(String name, double deviation) {
         all.add(deviation);
         if (!name.isEmpty()) {
-            means.computeIfAbsent(name, n -> new Mean(FORGETTING)).add(deviation);
+            means.computeIfAbsent(name, n -> new Mean(forgetting)).add(deviation);
         }
     }
 
--- a/src/main/java/madderrudder/estimates/Sketch.java
+++ b/src/main/java/madderrudder/estimates/Sketch.java
@@ -1,7 +1,8 @@
 package madderrudder.estimates;
 
 import java.nio.ByteBuffer;
-import org.HdrHistogram.AbstractHistogram;
+import java.util.ArrayList;
+import java.util.List;
 import org.HdrHistogram.HistogramIterationValue;
 import org.HdrHistogram.IntCountsHistogram;
 
@@ -16,10 +17,14 @@
     private final int window;
     private IntCountsHistogram young = fresh();
     private IntCountsHistogram old = fresh();
+    /** What both hold, worked out when it is asked for after a change: it is asked for more often than it changes. */
+    private Steps steps;
 
-    /** Takes what is in a step of the grid. */
-    interface Visitor {
-        void step(long low, long next, long count);
+    /** The steps of the grid that hold anything, in rising order: from where, up to where, and how many values. */
+    record Steps(double[] low, double[] next, double[] count) {
+        int size() {
+            return low.length;
+        }
     }
 
     Sketch(int window) {
@@ -38,6 +43,7 @@
             young = fresh();
         }
         young.recordValue(value);
+        steps = null;
     }
 
     /** Forgets all but these. */
@@ -47,29 +53,38 @@
         for (long value : values) {
             young.recordValue(value);
         }
+        steps = null;
     }
 
     int count() {
         return (int) (young.getTotalCount() + old.getTotalCount());
     }
 
-    void each(Visitor visitor) {
-        each(young, visitor);
-        each(old, visitor);
+    Steps steps() {
+        if (steps == null) {
+            IntCountsHistogram both = fresh();
+            both.add(young);
+            both.add(old);
+            List<double[]> found = new ArrayList<>();
+            for (HistogramIterationValue step : both.recordedValues()) {
+                long value = step.getValueIteratedTo();
+                found.add(new double[] {both.lowestEquivalentValue(value), both.nextNonEquivalentValue(value),
+                        step.getCountAddedInThisIterationStep()});
+            }
+            steps = new Steps(column(found, 0), column(found, 1), column(found, 2));
+        }
+        return steps;
     }
 
-    private static void each(AbstractHistogram histogram, Visitor visitor) {
-        for (HistogramIterationValue step : histogram.recordedValues()) {
-            long value = step.getValueIteratedTo();
-            visitor.step(histogram.lowestEquivalentValue(value), histogram.nextNonEquivalentValue(value),
-                    step.getCountAddedInThisIterationStep());
-        }
+    private static double[] column(List<double[]> rows, int column) {
+        return rows.stream().mapToDouble(row -> row[column]).toArray();
     }
 
     /** Takes in what another has; generation by generation, so that the order does not matter. */
     void merge(Sketch other) {
         young.add(other.young);
         old.add(other.old);
+        steps = null;
     }
 
     void write(ByteBuffer out) {
--- a/src/main/java/madderrudder/protocol/Fields.java
+++ b/src/main/java/madderrudder/protocol/Fields.java
@@ -140,6 +140,12 @@
         throw wrong(name);
     }
 
+    /** The field's text or number as text, for tables; empty if it is absent. */
+    public String plain(String name) {
+        Object value = map.get(name);
+        return value == null ? "" : value.toString();
+    }
+
     /** This object again as JSON text. */
     public byte[] render() {
         return Json.render(out -> Json.writeTree(out, map));
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import madderrudder.bookkeeping.JobRecords;
+import madderrudder.bookkeeping.Keys;
 import madderrudder.bookkeeping.LogPage;
 import madderrudder.bookkeeping.LogReading;
 import madderrudder.protocol.Fields;
@@ -40,6 +41,8 @@
     private long revision = 100;
     private long nextHold = 1;
     private boolean down;
+    long written;
+    long runTimesWritten;
     private int slowness = 1;
 
     private record Entry(byte[] data, long version, long hold) {
@@ -161,6 +164,21 @@
         log.add(new Event(key, data, revision));
     }
 
+    private static String conditionOn(Fields condition) {
+        try {
+            return condition.text("path");
+        } catch (MalformedMessage e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** What is kept under the prefix is no more what was written; how many values were overwritten. */
+    int damage(String prefix, byte[] data) {
+        List<String> damaged = keys.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+        damaged.forEach(key -> change(key, data, 0));
+        return damaged.size();
+    }
+
     private void commit(Fields in, Consumer<HttpResponse> answer) throws MalformedMessage {
         List<Fields> writes = in.objects("writes");
         if (writes.size() > mostWrites) {
@@ -192,7 +210,17 @@
         }
         revision++;
         readLog(writes);
+        boolean byTerm = in.objects("when").stream().anyMatch(condition -> condition.has("path")
+                && conditionOn(condition).equals(Keys.HELM));
         for (Fields write : writes) {
+            String key = write.text(write.has("drop") ? "drop" : "write");
+            if (key.startsWith(Keys.RUN_TIMES)) {
+                runTimesWritten++;
+                if (!byTerm) {
+                    broken.add(key + " was written without a term");
+                }
+            }
+            written++;
             if (write.has("drop")) {
                 change(write.text("drop"), null, 0);
             } else {
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import madderrudder.protocol.MalformedMessage;
+import madderrudder.protocol.Fields;
 import madderrudder.coordination.Deployment;
 import madderrudder.coordination.Objectives;
 import madderrudder.coordination.Policy;
@@ -148,6 +150,19 @@
         return running.containsKey(name) && running.get(name).node().leads();
     }
 
+    /** What a controller answers to an operator. */
+    Fields ask(String name, String path) {
+        List<Fields> answers = new ArrayList<>();
+        running.get(name).node().handle(HttpRequest.get(path), response -> {
+            try {
+                answers.add(Json.readObject(response.body()));
+            } catch (MalformedMessage e) {
+                throw new AssertionError(path, e);
+            }
+        });
+        return answers.get(0);
+    }
+
     /** The machines of a zone that have tasks, with the sessions of their workers. */
     Map<SimWorker, Long> busyIn(String zone) {
         Map<SimWorker, Long> sessions = new LinkedHashMap<>();
