--- a/src/main/java/madderrudder/coordination/LearnedRunTimes.java
+++ b/src/main/java/madderrudder/coordination/LearnedRunTimes.java
@@ -26,9 +26,9 @@
 /** Run times learned from what has run, kept in the store so that the next leader goes on from there. */
 final class LearnedRunTimes implements RunTimes {
     private static final Logger LOG = LoggerFactory.getLogger(LearnedRunTimes.class);
-    /** Memory: a kind takes about 4 KB, a job 1.5 KB, of the smallest controller's 64 MB heap. */
-    private static final int MOST_KINDS = 1_000;
-    private static final int MOST_JOBS = 1_000;
+    /** Memory: with as many jobs and the names of 1,500 machines about 5 MB of the smallest controller's 64 MB heap. */
+    private static final int MOST_KINDS = 500;
+    private static final int MOST_JOBS = 500;
     /**
      * Few enough that all are written within a minute, one at a time: a new leader lacks no more than that, and the
      * store sees one write in ten seconds of the dozens it takes in each.
--- a/src/main/java/madderrudder/estimates/EstimatePages.java
+++ b/src/main/java/madderrudder/estimates/EstimatePages.java
@@ -32,12 +32,14 @@
     private static final int FIXED_BYTES = 2 + 4 * Integer.BYTES;
     private static final int MOST_CHAR_BYTES = 3;
     /** When too many kinds for a page are tried again with fewer. */
-    private static final double FEWER = 0.75;
+    private static final double FEWER = 0.9;
+    private static final double MORE = 1.1;
 
     private final Estimator estimator;
     private final int pages;
     private final int pageBytes;
     private final BitSet changed = new BitSet();
+    private final int[] fitted;
 
     /** A page can't be read; the message says why. */
     public static final class Refused extends Exception {
@@ -91,6 +93,7 @@
     public EstimatePages(Estimator estimator, int pages, int pageBytes) {
         this.estimator = estimator;
         this.pages = pages;
+        fitted = new int[pages];
         this.pageBytes = pageBytes;
     }
 
@@ -124,26 +127,34 @@
     public String write(int page) {
         changed.clear(page);
         List<Entry> entries = new ArrayList<>();
-        estimator.scores().forEach((grade, known) -> {
-            if (page(grade.jobClass()) == page) {
-                entries.add(new Entry(null, null, grade, known));
-            }
-        });
+        addGrades(entries, page, false);
         estimator.kinds().forEach((kind, evidence) -> {
             if (page(kind) == page) {
                 entries.add(new Entry(kind, evidence, null, null));
             }
         });
+        addGrades(entries, page, true);
         Collections.reverse(entries);
-        return fitting(entries);
+        return fitting(entries, page);
+    }
+
+    /** Grades of all classes are few, and all rely on them; those of one class are a refinement, and go first. */
+    private void addGrades(List<Entry> entries, int page, boolean ofAll) {
+        estimator.scores().forEach((grade, known) -> {
+            if (page(grade.jobClass()) == page && grade.jobClass().isEmpty() == ofAll) {
+                entries.add(new Entry(null, null, grade, known));
+            }
+        });
     }
 
-    /** Kinds come before grades: bounds are wider without those, but estimates are no worse. */
-    private String fitting(List<Entry> all) {
-        List<Entry> entries = all;
+    /** As many from the first on as fit; it begins with a few more than fitted the last time. */
+    private String fitting(List<Entry> all, int page) {
+        int most = fitted[page] == 0 ? all.size() : (int) (MORE * fitted[page]) + 1;
+        List<Entry> entries = all.subList(0, Math.min(all.size(), most));
         while (true) {
             String text = encode(entries);
             if (text.length() <= pageBytes || entries.isEmpty()) {
+                fitted[page] = entries.size();
                 return text;
             }
             entries = entries.subList(0, (int) (FEWER * entries.size()));
--- a/src/main/java/madderrudder/estimates/Estimator.java
+++ b/src/main/java/madderrudder/estimates/Estimator.java
@@ -167,9 +167,9 @@
                 counts.setAside++;
                 return true;
             }
-            judge(like, foretold, tookMicros);
+            int side = judge(like, foretold, tookMicros);
             if (siblings.seen == 0) {
-                compare(run, foretold, tookMicros);
+                compare(run, side, tookMicros);
             } else if (Integer.bitCount(siblings.seen) == 1) {
                 compareSiblings(run, tookMicros);
             }
@@ -210,25 +210,24 @@
         return foretold.mixture().quantileBeyond(ranMicros, part - Math.floor(part));
     }
 
-    /** Keeps how far off the estimate was, for the bounds of later ones. */
-    private void judge(Likeness like, Foretold foretold, double tookMicros) {
+    /**
+     * Keeps how far off the estimate was, for the bounds of later ones; 1 if the run ended beyond the upper bound, -1 if
+     * below the lower one, and 0 between.
+     */
+    private int judge(Likeness like, Foretold foretold, double tookMicros) {
+        int side = tookMicros > high(like, foretold, JUDGED_SHARE) ? 1
+                : tookMicros < low(like, foretold, JUDGED_SHARE) ? -1 : 0;
         counts.judged++;
-        counts.within += side(like, foretold, tookMicros) == 0 ? 1 : 0;
+        counts.within += side == 0 ? 1 : 0;
         double score = foretold.score(tookMicros);
         for (Grade grade : grades(like, foretold)) {
             scores.computeIfAbsent(grade, g -> new Scores()).add(score);
         }
-    }
-
-    /** 1 beyond the upper bound, -1 below the lower one, and 0 between. */
-    private int side(Likeness like, Foretold foretold, double tookMicros) {
-        return tookMicros > high(like, foretold, JUDGED_SHARE) ? 1
-                : tookMicros < low(like, foretold, JUDGED_SHARE) ? -1 : 0;
+        return side;
     }
 
     /** Of a job's first task: whether the ratio or the time would have been better, and whether all has changed. */
-    private void compare(Run run, Foretold foretold, double tookMicros) {
-        int side = side(run.like(), foretold, tookMicros);
+    private void compare(Run run, int side, double tookMicros) {
         double ratioLoss = loss(run, Basis.RATIO, tookMicros);
         double timeLoss = loss(run, Basis.TIME, tookMicros);
         for (Level level : KINDS) {
--- a/src/main/java/madderrudder/estimates/Scores.java
+++ b/src/main/java/madderrudder/estimates/Scores.java
@@ -13,11 +13,13 @@
     static final int WINDOW = 256;
     private static final double MILLI = 1_000;
     private static final double MOST = 64;
+    private static final int PART_NEW = 32;
 
     private final Sketch above;
     private final Sketch below;
-    /** How either side is spread, since it last changed. */
+    /** How either side is spread, worked out again once so many scores are new. */
     private final Map<Sketch, Mixture> spread = new IdentityHashMap<>(4);
+    private int unread;
 
     Scores() {
         this(new Sketch(WINDOW), new Sketch(WINDOW));
@@ -31,7 +33,10 @@
     /** A job took longer than the median by so many units if {@code score} is above 0, and else less. */
     void add(double score) {
         Sketch side = score > 0 ? above : below;
-        spread.remove(side);
+        if (++unread >= count() / PART_NEW) {
+            spread.clear();
+            unread = 0;
+        }
         side.add(Math.max(1, Math.round(MILLI * Math.min(MOST, Math.abs(score)))));
     }
 
--- a/src/main/java/madderrudder/estimates/Sketch.java
+++ b/src/main/java/madderrudder/estimates/Sketch.java
@@ -1,9 +1,7 @@
 package madderrudder.estimates;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
-import org.HdrHistogram.HistogramIterationValue;
+import java.util.Arrays;
 import org.HdrHistogram.IntCountsHistogram;
 
 /**
@@ -14,9 +12,13 @@
 final class Sketch {
     private static final int DIGITS = 1;
 
+    /** Tells which values are one step; it holds none. */
+    private static final IntCountsHistogram GRID = fresh();
+
     private final int window;
     private IntCountsHistogram young = fresh();
-    private IntCountsHistogram old = fresh();
+    /** Null until the first generation is full: most kinds are seen a few times only. */
+    private IntCountsHistogram old;
     /** What both hold, worked out when it is asked for after a change: it is asked for more often than it changes. */
     private Steps steps;
 
@@ -48,7 +50,7 @@
 
     /** Forgets all but these. */
     void restart(long[] values) {
-        old = fresh();
+        old = null;
         young = fresh();
         for (long value : values) {
             young.recordValue(value);
@@ -57,50 +59,74 @@
     }
 
     int count() {
-        return (int) (young.getTotalCount() + old.getTotalCount());
+        return (int) (young.getTotalCount() + (old == null ? 0 : old.getTotalCount()));
     }
 
     Steps steps() {
         if (steps == null) {
-            IntCountsHistogram both = fresh();
-            both.add(young);
-            both.add(old);
-            List<double[]> found = new ArrayList<>();
-            for (HistogramIterationValue step : both.recordedValues()) {
-                long value = step.getValueIteratedTo();
-                found.add(new double[] {both.lowestEquivalentValue(value), both.nextNonEquivalentValue(value),
-                        step.getCountAddedInThisIterationStep()});
+            long most = Math.max(young.getMaxValue(), old == null ? 0 : old.getMaxValue());
+            long least = Math.min(young.getMinNonZeroValue(), old == null ? Long.MAX_VALUE : old.getMinNonZeroValue());
+            double[] low = new double[16];
+            double[] next = new double[16];
+            double[] count = new double[16];
+            int size = 0;
+            for (long value = least; value <= most; value = GRID.nextNonEquivalentValue(value)) {
+                long here = count(young, value) + count(old, value);
+                if (here > 0) {
+                    if (size == low.length) {
+                        low = Arrays.copyOf(low, 2 * size);
+                        next = Arrays.copyOf(next, 2 * size);
+                        count = Arrays.copyOf(count, 2 * size);
+                    }
+                    low[size] = GRID.lowestEquivalentValue(value);
+                    next[size] = GRID.nextNonEquivalentValue(value);
+                    count[size++] = here;
+                }
             }
-            steps = new Steps(column(found, 0), column(found, 1), column(found, 2));
+            steps = new Steps(Arrays.copyOf(low, size), Arrays.copyOf(next, size), Arrays.copyOf(count, size));
         }
         return steps;
     }
 
-    private static double[] column(List<double[]> rows, int column) {
-        return rows.stream().mapToDouble(row -> row[column]).toArray();
+    /**
+     * Asked for what lies beyond its steps, a histogram answers with the last of them. (What it calls its highest
+     * trackable value lies below values that its first array takes in: going by that, the newest run was overlooked.)
+     */
+    private static long count(IntCountsHistogram generation, long value) {
+        return generation == null || value > generation.getMaxValue() ? 0 : generation.getCountAtValue(value);
     }
 
     /** Takes in what another has; generation by generation, so that the order does not matter. */
     void merge(Sketch other) {
         young.add(other.young);
-        old.add(other.old);
+        if (old == null) {
+            old = other.old == null ? null : other.old.copy();
+        } else if (other.old != null) {
+            old.add(other.old);
+        }
         steps = null;
     }
 
+    /** Both generations as one, which read again is the younger one: it turns with the next value if it is full. */
     void write(ByteBuffer out) {
-        young.encodeIntoByteBuffer(out);
-        old.encodeIntoByteBuffer(out);
+        if (old == null) {
+            young.encodeIntoByteBuffer(out);
+        } else {
+            IntCountsHistogram both = old.copy();
+            both.setAutoResize(true);
+            both.add(young);
+            both.encodeIntoByteBuffer(out);
+        }
     }
 
     int mostBytes() {
-        return young.getNeededByteBufferCapacity() + old.getNeededByteBufferCapacity();
+        return Math.max(young.getNeededByteBufferCapacity(), old == null ? 0 : old.getNeededByteBufferCapacity());
     }
 
     /** Throws a RuntimeException of the library's if the bytes are not a histogram's. */
     static Sketch read(ByteBuffer in, int window) {
         Sketch sketch = new Sketch(window);
         sketch.young = readOne(in);
-        sketch.old = readOne(in);
         return sketch;
     }
 
--- a/src/test/java/madderrudder/cli/PackagedProgramIT.java
+++ b/src/test/java/madderrudder/cli/PackagedProgramIT.java
@@ -18,6 +18,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.jar.JarFile;
+import java.util.zip.ZipEntry;
 import madderrudder.service.SettingsTest;
 import madderrudder.sim.LoopbackWorld;
 import madderrudder.transport.HttpServer;
@@ -47,6 +49,40 @@
         }
     }
 
+    /** The controller starts on a third of a core: what it does not need is not in its jar. */
+    @Test
+    void toolsHaveAJarOfTheirOwn() throws Exception {
+        try (JarFile jar = new JarFile(JAR.toFile())) {
+            List<String> strange = jar.stream().map(ZipEntry::getName)
+                    .filter(name -> name.startsWith("madderrudder/tools/") || name.startsWith("madderrudder/replay/")
+                            || name.startsWith("picocli/") || name.startsWith("org/jfree/")
+                            || name.startsWith("org/apache/commons/") && !name.startsWith("org/apache/commons/cli/")
+                                    && name.endsWith(".class"))
+                    .toList();
+            assertEquals(List.of(), strange);
+        }
+        Path history = folder.resolve("drawn.csv");
+        Path page = folder.resolve("page.html");
+        Path said = folder.resolve("said");
+        assertEquals(0, tool(said, "history", "generate", "--runs", "2000", "--format", "csv", "--out", history.toString()));
+        assertEquals(2_001, Files.readAllLines(history).size());
+        assertEquals(0, tool(said, "estimate", "replay", "--strict", "--history", history.toString(), "--html",
+                page.toString()), Files.readString(said));
+        assertTrue(Files.readString(said).contains("2000 lines, 0 malformed") || Files.readString(said).contains(
+                "2001 lines, 0 malformed"), Files.readString(said));
+        assertTrue(Files.readString(page).contains("<svg"));
+        assertEquals(0, tool(said, "check", "--config", Files.writeString(folder.resolve("good.json"),
+                SettingsTest.GOOD).toString()), Files.readString(said));
+    }
+
+    private static int tool(Path said, String... arguments) throws Exception {
+        List<String> command = new java.util.ArrayList<>(List.of("sh", "bin/madderrudder"));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(said.toFile()).start();
+        assertTrue(process.waitFor(30, TimeUnit.SECONDS));
+        return process.exitValue();
+    }
+
     @Test
     void namesWhatIsWrongAndEnds() throws Exception {
         Path settings = Files.writeString(folder.resolve("bad.json"), SettingsTest.GOOD.replace("\"member\":\"n-0\",", ""));
