Room comes free by itself only where the bounds say so of a task that runs already

What ran to within a second of its upper bound was taken for about to end; but of what has come that far, most runs on: nine in ten have ended before.

Change: only what has not come to its lower bound yet, and has its upper one within a second, counts. Two tests of planning: what ends soon is not stopped, and room that comes free is kept for a gang.

--- a/src/main/java/madderrudder/coordination/LearnedRunTimes.java
+++ b/src/main/java/madderrudder/coordination/LearnedRunTimes.java
@@ -131,8 +131,10 @@
         if (assignment.runningMicros < 0 || assignment.job.spec.kind() == Kind.SERVICE) {
             return false;
         }
-        long left = mostMicros(assignment.job) - RunTimes.ranMicros(assignment, nowMicros);
-        return left >= 0 && left <= withinMicros;
+        // Only of what has not come to its lower bound yet: what runs on just below its upper one mostly outlasts it.
+        long ran = RunTimes.ranMicros(assignment, nowMicros);
+        Estimate estimate = of(assignment.job);
+        return ran <= estimate.lowMicros() && estimate.highMicros() - ran <= withinMicros;
     }
 
     /** For operators: what is known of each class, and how well it held. */
--- a/src/test/java/madderrudder/coordination/PlanningTest.java
+++ b/src/test/java/madderrudder/coordination/PlanningTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,10 +35,83 @@
     private long attempts;
 
     private Cluster cluster(Objectives objectives) {
+        return cluster(objectives, new GuessedRunTimes());
+    }
+
+    private Cluster cluster(Objectives objectives, RunTimes runTimes) {
         return new Cluster(new Deployment(List.of("east", "west"), teams,
             new Deployment.WorkerTimes(2 * SECOND, 14 * SECOND, 35 * SECOND, 4 * SECOND, 44 * SECOND),
             new Deployment.StateLimits(200, 80, 16 * 1024, 48), new Deployment.CloudLimits(2, SECOND), 3, 0, objectives),
-            new GuessedRunTimes());
+            runTimes);
+    }
+
+    /** Knows that tasks take between 10 and 40 s, mostly 20, and which end within the next second. */
+    private record KnownRunTimes(Set<Assignment> ending) implements RunTimes {
+        @Override
+        public void ran(Run run) {
+            throw new AssertionError("planning does not learn");
+        }
+
+        @Override
+        public long expectedMicros(Job job) {
+            return 20 * SECOND;
+        }
+
+        @Override
+        public long mostMicros(Job job) {
+            return 40 * SECOND;
+        }
+
+        @Override
+        public long leftMicros(Assignment assignment, long nowMicros) {
+            return 20 * SECOND - RunTimes.ranMicros(assignment, nowMicros);
+        }
+
+        @Override
+        public boolean endsWithin(Assignment assignment, long nowMicros, long withinMicros) {
+            return ending.contains(assignment);
+        }
+    }
+
+    /** What ends by itself as soon as a stop would be done is not stopped: all it has done would be lost for nothing. */
+    @Test
+    void whatEndsSoonIsNotStopped() {
+        Set<Assignment> ending = new HashSet<>();
+        Cluster known = cluster(Objectives.none(), new KnownRunTimes(ending));
+        Machine machine = machine("m-0", "east", true);
+        known.add(machine);
+        Job old = job("req-1", "alto", Kind.ARRAY, Priority.NORMAL, 2, 2, false);
+        Job urgent = job("req-2", "basso", Kind.ARRAY, Priority.PRODUCTION, 1, 2, false);
+        known.jobs.put("req-1", old);
+        known.jobs.put("req-2", urgent);
+        Assignment one = put(old, 0, machine);
+        Assignment other = put(old, 1, machine);
+        assertEquals(1, Preemption.plan(known, POLICY, Demand.of(known, 0), SECOND).size());
+        ending.add(one);
+        assertEquals(Set.of(), Preemption.plan(known, POLICY, Demand.of(known, 0), SECOND));
+        // It frees room for one task only.
+        known.jobs.put("req-3", job("req-3", "canto", Kind.ARRAY, Priority.PRODUCTION, 1, 2, false));
+        assertEquals(Set.of(other), Preemption.plan(known, POLICY, Demand.of(known, 0), SECOND));
+    }
+
+    /** Room that comes free by itself is kept for a gang that lacks it, as room that is being made is. */
+    @Test
+    void roomThatComesFreeIsKeptForAGang() {
+        Set<Assignment> ending = new HashSet<>();
+        Cluster known = cluster(Objectives.none(), new KnownRunTimes(ending));
+        Machine free = machine("m-0", "east", true);
+        Machine freeing = machine("m-1", "east", true);
+        known.add(free);
+        known.add(freeing);
+        Job old = job("req-1", "alto", Kind.ARRAY, Priority.LOW, 1, 3, false);
+        Assignment last = put(old, 0, freeing);
+        Job gang = job("req-2", "canto", Kind.GANG, Priority.HIGH, 2, 3, false);
+        Job small = job("req-3", "basso", Kind.ARRAY, Priority.LOW, 1, 1, false);
+        List.of(old, gang, small).forEach(job -> known.jobs.put(job.spec.id(), job));
+        assertEquals(List.of(freeing), Placer.plan(known, POLICY, Demand.of(known, 0), SECOND).stream()
+                .map(Placement::machine).toList());
+        ending.add(last);
+        assertEquals(List.of(), Placer.plan(known, POLICY, Demand.of(known, 0), SECOND));
     }
 
     PlanningTest() {
