--- a/src/main/java/madderrudder/bookkeeping/HistoryCodec.java
+++ b/src/main/java/madderrudder/bookkeeping/HistoryCodec.java
@@ -52,7 +52,8 @@
         Run run = new Run(like, in.smallCount("task"), in.count("attempt", 0), in.text("type", ""),
                 in.text("machine", ""), in.secondsAsMicros("guess_s", 0), in.secondsAsMicros("took_s"),
                 end.equals(DONE));
-        return new Ended(in.secondsAsMicros("at_s", 0), run);
+        // A time of day is more seconds than any duration may be.
+        return new Ended(Math.round(1e6 * in.amount("at_s", 0)), run);
     }
 
     private static long thousandths(Fields in, String name) throws MalformedMessage {
--- a/src/test/java/madderrudder/cli/PackagedProgramIT.java
+++ b/src/test/java/madderrudder/cli/PackagedProgramIT.java
@@ -19,6 +19,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarFile;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.zip.ZipEntry;
 import madderrudder.service.SettingsTest;
 import madderrudder.sim.LoopbackWorld;
@@ -134,6 +136,22 @@
                     && metrics.contains("\"submission\":{\"count\":4,"), metrics);
             assertTrue(call("POST", base + "/v1/jobs/req-000001/withdraw", "").body().contains("\"aborted\""));
             assertTrue(call("GET", base + "/v1/jobs/req-000001", "").body().contains("\"aborted\""));
+            assertEquals(201, call("POST", base + "/v1/jobs", job.replace("000001", "000003").replace("\"strokes\":2",
+                    "\"strokes\":1")).statusCode());
+            runOneTask(base, "req-000003/0");
+            Path said = folder.resolve("said");
+            Path history = folder.resolve("history.jsonl");
+            assertEquals(0, tool(said, "history", "export", "--from", "http://127.0.0.1:1," + base, "--out",
+                    history.toString()), Files.readString(said));
+            String line = Files.readString(history);
+            assertTrue(line.contains("\"job\":\"req-000003\",\"task\":0") && line.contains("\"guess_s\":5.0")
+                    && line.contains("\"end\":\"done\"") && line.lines().count() == 1, line);
+            assertEquals(0, tool(said, "estimate", "--history", history.toString(), "--class", "a", "--team", "alto",
+                    "--image", "i", "--cpus", "2", "--memory-gb", "4", "--guess", "5"), Files.readString(said));
+            assertTrue(Files.readString(said).contains("work: 1 runs"), Files.readString(said));
+            assertEquals(1, tool(said, "history", "export", "--from", "http://127.0.0.1:1"));
+            assertTrue(Files.readString(said).startsWith("madderrudder: no controller answers as the leader"),
+                    Files.readString(said));
         } finally {
             process.destroyForcibly().waitFor();
             loop.shutdown();
@@ -141,6 +159,31 @@
         }
     }
 
+    /** Speaks as a worker does: is told to start the task, runs it for a moment, and is told to forget it. */
+    private static void runOneTask(String base, String task) throws Exception {
+        String trim = "";
+        Pattern start = Pattern.compile("\"order\":\"start\",\"stroke\":\"" + task + "\",\"launch\":([0-9]+)");
+        String launch = "";
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        for (int knot = 1; System.nanoTime() < until; knot++) {
+            String report = "{\"vessel\":\"m-900001\",\"addr\":\"\",\"build\":\"big\",\"berth\":\"east\",\"driftwood\":false,"
+                    + "\"watch\":1,\"knot\":" + knot + ",\"helm\":1,\"recall_s\":null,\"strokes\":["
+                    + (trim.isEmpty() ? "" : "{\"stroke\":\"" + task + "\",\"launch\":" + launch + "," + trim + "}") + "]}";
+            String answer = call("POST", base + "/hello", report).body();
+            Matcher told = start.matcher(answer);
+            if (told.find()) {
+                launch = told.group(1);
+                trim = "\"trim\":\"running\"";
+            } else if (trim.contains("running")) {
+                trim = "\"trim\":\"ended\",\"wake\":\"done\"";
+            } else if (answer.contains("\"reap\"")) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        throw new AssertionError(task + " was not run in time, but " + trim);
+    }
+
     private static void awaitHealthy(String base) throws Exception {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (System.nanoTime() < until) {
--- a/src/test/java/madderrudder/replay/ReplayTest.java
+++ b/src/test/java/madderrudder/replay/ReplayTest.java
@@ -95,7 +95,7 @@
     @EnumSource(HistoryWriter.Format.class)
     void anyNamesComeThrough(HistoryWriter.Format format) throws IOException {
         Likeness like = new Likeness("a,b", "say \"x\"", "team\nof two", "7", new Resources(1_500, 250, 1));
-        Ended ended = new Ended(5_000_000, new Run(like, 2, 9, "", "m;1", 0, 1_250_000, false));
+        Ended ended = new Ended(1_790_000_000_123_456L, new Run(like, 2, 9, "", "m;1", 0, 1_250_000, false));
         StringWriter out = new StringWriter();
         new HistoryWriter(out, format, false).write(ended, 0);
         Path file = folder.resolve(format == HistoryWriter.Format.CSV ? "odd.csv" : "odd.jsonl");
