--- a/src/main/java/madderrudder/estimates/Estimator.java
+++ b/src/main/java/madderrudder/estimates/Estimator.java
@@ -47,8 +47,8 @@
     private static final double SLOW_UNITS = 1.5;
     private static final int SLOW_RUNS = 4;
     private static final double MACHINE_FORGETTING = 0.1;
-    private static final int TYPE_RUNS = 64;
-    private static final double TYPE_FORGETTING = 0.01;
+    private static final int TYPE_RUNS = 256;
+    private static final double TYPE_FORGETTING = 0.002;
     private static final double TYPE_SPEED = 0.05;
     private static final double MOST_TYPE_SPEED = Math.log(4);
     private static final List<Level> KINDS = List.of(Level.WORK, Level.TEAM, Level.CLASS, Level.ALL);
@@ -451,6 +451,8 @@
     public void merge(Estimator other) {
         other.kinds.forEach((kind, evidence) -> kinds
                 .computeIfAbsent(kind, k -> new Evidence(way.window(k.level()))).merge(evidence));
+        machines.merge(other.machines);
+        types.merge(other.types);
         other.scores.forEach((grade, known) -> scores.computeIfAbsent(grade, g -> new Scores()).merge(known));
     }
 
--- a/src/main/java/madderrudder/tools/EstimateCommand.java
+++ b/src/main/java/madderrudder/tools/EstimateCommand.java
@@ -35,19 +35,19 @@
     private CommandSpec spec;
     @Option(names = "--history", paramLabel = "FILE", description = "What has run; may be given several times.")
     private List<Path> files = List.of();
-    @Option(names = "--class", paramLabel = "NAME")
+    @Option(names = "--class", paramLabel = "NAME", description = "Of the job, as in the history; needed.")
     private String jobClass;
-    @Option(names = "--team", defaultValue = "")
+    @Option(names = "--team", defaultValue = "", paramLabel = "NAME", description = "Whose job it is.")
     private String team;
-    @Option(names = "--image", defaultValue = "")
+    @Option(names = "--image", defaultValue = "", paramLabel = "NAME", description = "What its tasks run in.")
     private String image;
     @Option(names = "--cpus", defaultValue = "1", description = "Of a task (default: ${DEFAULT-VALUE}).")
     private double cpus;
-    @Option(names = "--gpus", defaultValue = "0")
+    @Option(names = "--gpus", defaultValue = "0", description = "Of a task (default: ${DEFAULT-VALUE}).")
     private double gpus;
-    @Option(names = "--memory-gb", defaultValue = "0")
+    @Option(names = "--memory-gb", defaultValue = "0", description = "Of a task (default: ${DEFAULT-VALUE}).")
     private double memoryGb;
-    @Option(names = "--type", defaultValue = "", description = "The type of the machine.")
+    @Option(names = "--type", defaultValue = "", paramLabel = "NAME", description = "The type of the machine.")
     private String type;
     @Option(names = "--guess", defaultValue = "0", paramLabel = "SECONDS", description = "The owner's guess.")
     private double guessSeconds;
@@ -82,10 +82,10 @@
             out.println("unknown: nothing like it has run, and there is no guess");
             return;
         }
-        out.println(String.format(Locale.ROOT, "%.3f s, in %.0f of 100 cases %.3f to %.3f s (%s, from %d runs of the same %s)",
+        out.println(String.format(Locale.ROOT, "%.3f s, in %.0f of 100 cases %.3f to %.3f s (%s, from %d runs %s)",
                 estimate.medianMicros() / MICROS, 100 * share, estimate.lowMicros() / MICROS,
                 estimate.highMicros() / MICROS, estimate.sure() ? "sure" : "unsure", estimate.runs(),
-                estimate.level().name().toLowerCase(Locale.ROOT)));
+                estimate.level().words()));
         out.println(estimator.explain(question));
     }
 
--- a/src/main/java/madderrudder/tools/Tools.java
+++ b/src/main/java/madderrudder/tools/Tools.java
@@ -6,6 +6,8 @@
 
 /** The commands that run on ordinary machines, beside the controllers. */
 @Command(name = "madderrudder", description = "Tools of the madderrudder scheduler.", mixinStandardHelpOptions = true,
+        footer = {"", "serve and check, which run a controller and judge its settings, are commands of its own jar:",
+            "bin/madderrudder finds them there."},
         versionProvider = Tools.Version.class, subcommands = {HistoryCommand.class, EstimateCommand.class})
 public final class Tools implements Runnable {
     @CommandLine.Spec
