--- a/deploy/operator.sexp
+++ b/deploy/operator.sexp
@@ -10,5 +10,5 @@
   (headroom 0.08)         ; share of processors kept from ordinary work where waits must be shorter than a boot
   (patience 0.2)          ; share of the time to spare that work waits before a steady machine is rented for it
   (deputies on)           ; controllers answer workers for a leader that can't be reached
-  (learned-run-times on)  ; run times are learned from what has run, rather than owners' guesses corrected
+  (learned-run-times off) ; run times are learned from what has run, rather than owners' guesses corrected
   (hold-s 3))             ; how long a leader's hold on the store lasts without extension
