--- a/src/main/java/madderrudder/estimates/EstimatePages.java
+++ b/src/main/java/madderrudder/estimates/EstimatePages.java
@@ -99,7 +99,7 @@
 
     /** A run was taken in: its kinds have changed, and what was held of its class, and so have their pages. */
     public void changed(Likeness like) {
-        for (Level level : List.of(Level.WORK, Level.TEAM, Level.CLASS, Level.ALL)) {
+        for (Level level : Estimator.KINDS) {
             changed.set(page(like.kind(level)));
         }
         changed.set(page(like.jobClass()));
--- a/src/main/java/madderrudder/estimates/Estimator.java
+++ b/src/main/java/madderrudder/estimates/Estimator.java
@@ -51,7 +51,8 @@
     private static final double TYPE_FORGETTING = 0.002;
     private static final double TYPE_SPEED = 0.05;
     private static final double MOST_TYPE_SPEED = Math.log(4);
-    private static final List<Level> KINDS = List.of(Level.WORK, Level.TEAM, Level.CLASS, Level.ALL);
+    /** The levels whose kinds outlast a job. */
+    static final List<Level> KINDS = List.of(Level.WORK, Level.TEAM, Level.CLASS, Level.ALL);
 
     private final Way way;
     private final Map<Kind, Evidence> kinds;
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -164,14 +164,6 @@
         log.add(new Event(key, data, revision));
     }
 
-    private static String conditionOn(Fields condition) {
-        try {
-            return condition.text("path");
-        } catch (MalformedMessage e) {
-            throw new AssertionError(e);
-        }
-    }
-
     /** What is kept under the prefix is no more what was written; how many values were overwritten. */
     int damage(String prefix, byte[] data) {
         List<String> damaged = keys.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
@@ -191,7 +183,9 @@
             }
         }
         List<String> failed = new ArrayList<>();
+        boolean byTerm = false;
         for (Fields condition : in.objects("when")) {
+            byTerm |= condition.text("path").equals(Keys.HELM);
             Entry entry = keys.get(condition.text("path"));
             if ((entry == null ? 0 : entry.version()) != condition.count("entry")) {
                 failed.add(condition.text("path"));
@@ -210,8 +204,6 @@
         }
         revision++;
         readLog(writes);
-        boolean byTerm = in.objects("when").stream().anyMatch(condition -> condition.has("path")
-                && conditionOn(condition).equals(Keys.HELM));
         for (Fields write : writes) {
             String key = write.text(write.has("drop") ? "drop" : "write");
             if (key.startsWith(Keys.RUN_TIMES)) {
