A leader that has not read the store renews leases only as long as a grant allows

Cause, asked of each place that sends a worker a 200: a new leader answered every report with no command until it had read the store, for as long as its hold was extended, whatever had been cancelled before it was elected.

Ruled out: no answers before all is read (leases lost on a slow store); R from the election (a cancellation may be older).

Change: the latest grant bounds it, as it does a deputy; other reports are kept for 2.5 s.

--- a/src/main/java/madderrudder/coordination/dealings/Leader.java
+++ b/src/main/java/madderrudder/coordination/dealings/Leader.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import madderrudder.bookkeeping.Change;
 import madderrudder.bookkeeping.Journal.Lane;
@@ -65,7 +66,7 @@
     /** What a leader stands on. */
     public record Surroundings(Scheduler scheduler, StoreClient store, HttpCalls calls, CloudClient cloud,
             Catalog catalog, Election election, Deployment deployment, Policy policy, String member,
-            Set<String> others, Metrics metrics) {
+            Set<String> others, Metrics metrics, LongSupplier harmlessUntilMicros) {
     }
 
     /** What a worker is answered; null orders mean that this node may not act. */
@@ -228,16 +229,23 @@
     /**
      * Reports may be answered while the hold lasts, and for a bounded time after the last news from the
      * store: long enough for workers to keep their tasks through an outage, and short enough that they
-     * drop a job in time that was cancelled where this node can't see it.
+     * drop a job in time that was cancelled where this node can't see it. Before the store is read nothing is known of what
+     * was cancelled, also long ago: such answers, without commands, once went on for as long as the hold was extended, and are
+     * bounded now by what an earlier leader has granted, as a deputy's are.
      */
     public boolean mayAnswer() {
         long now = term.scheduler.nowMicros();
         if (!ready) {
-            return term.election.entitled();
+            return term.election.entitled() && now < around.harmlessUntilMicros().getAsLong();
         }
         return now < Math.min(jobs.freshMicros(), term.election.holdEndMicros()) + term.safety.answerMicros();
     }
 
+    /** Whether a report is answered at this moment, rather than once the store is read. */
+    public boolean takesReports() {
+        return ready || mayAnswer();
+    }
+
     /**
      * For how long other controllers may answer workers in this leader's stead, with no command: until a worker that got
      * their last answer drops in time whatever may have been cancelled since, as in {@link #mayAnswer}; 0 for not at all.
@@ -298,8 +306,7 @@
             return;
         }
         if (worth == WorkerDesk.Worth.OVERTAKEN) {
-            desk.answersOvertaken(report);
-            answer.accept(new Answer(desk.token(report), List.of()));
+            answer.accept(new Answer(desk.token(report), desk.ordersForOvertaken(report)));
             return;
         }
         if (!desk.unsettled(report.machine()) || !term.election.entitled()) {
--- a/src/main/java/madderrudder/coordination/dealings/WorkerDesk.java
+++ b/src/main/java/madderrudder/coordination/dealings/WorkerDesk.java
@@ -388,15 +388,35 @@
     }
 
     /**
-     * A report that a direct command's answer has overtaken is answered too, with no command, and that renews the worker's
-     * lease. Such answers once were not counted, so that the machine was taken for empty up to a report's interval before it was.
+     * A report that a direct command's answer has overtaken is answered too, and that renews the worker's
+     * lease. Such answers once were not counted, so that the machine was taken for empty up to a report's interval before it was;
+     * and they carried no stops, so that what was cancelled lived on with them.
      */
-    void answersOvertaken(WorkerReport report) {
+    List<Order> ordersForOvertaken(WorkerReport report) {
         Machine machine = term.cluster.machines.get(report.machine());
-        if (machine != null) {
-            machine.answeredMicros = Math.max(machine.answeredMicros, term.scheduler.nowMicros());
-            machine.told = true;
+        if (machine == null) {
+            return List.of();
         }
+        machine.answeredMicros = Math.max(machine.answeredMicros, term.scheduler.nowMicros());
+        machine.told = true;
+        return stops(machine, report);
+    }
+
+    /**
+     * Stops for all that the report shows and that shall not be there. They name attempts, and are right however old the report
+     * is; no answer that renews a lease goes without them.
+     */
+    private List<Order> stops(Machine machine, WorkerReport report) {
+        List<Order> stops = new ArrayList<>();
+        for (TaskReport task : report.tasks()) {
+            Assignment assignment = machine.assignments.get(new Machine.Key(task.task(), task.attempt()));
+            if (task.phase() != Phase.EXITED && assignment == null) {
+                stops.add(Order.stop(task.task(), task.attempt(), 0));
+            } else if (task.phase() != Phase.EXITED && wish(assignment) == Wish.GO) {
+                stops.add(stop(assignment, term.scheduler.nowMicros()));
+            }
+        }
+        return stops;
     }
 
     /** The commands for the report's answer. To be called when the answer is sent. */
@@ -410,7 +430,7 @@
         machine.heardMicros = now;
         machine.told = true;
         if (machine.session != report.session() || machine.seq != report.seq()) {
-            return List.of();
+            return stops(machine, report);
         }
         List<Order> orders = new ArrayList<>();
         boolean raise = false;
--- a/src/main/java/madderrudder/coordination/membership/Deputy.java
+++ b/src/main/java/madderrudder/coordination/membership/Deputy.java
@@ -40,6 +40,7 @@
     private long term;
     private String granter;
     private long endMicros;
+    private long harmlessUntilMicros = Long.MIN_VALUE / 4;
 
     /** An answer that was given, and the report that it was given to. */
     private record Given(long atMicros, long session, long seq) {
@@ -67,6 +68,7 @@
         }
         long end = mine.stampMicros() + Safety.shortened(standing.grantMicros());
         endMicros = standing.term() == term ? Math.max(endMicros, end) : end;
+        harmlessUntil(end);
         term = standing.term();
         granter = standing.member();
     }
@@ -97,6 +99,20 @@
                 && now - heard.get(granter).atMicros() > safety.quietMicros();
     }
 
+    /** Any grant, also one that this process has given as the leader, says until when an answer without commands is harmless. */
+    public void harmlessUntil(long micros) {
+        harmlessUntilMicros = Math.max(harmlessUntilMicros, micros);
+    }
+
+    /**
+     * Up to this moment an answer without commands keeps no cancelled task for too long, whoever gives it and in whatever term:
+     * of the jobs that were cancelled before the news that the grant counts from, nothing was anywhere any more, and a lease that
+     * such an answer begins is over in time for those cancelled since.
+     */
+    public long harmlessUntilMicros() {
+        return harmlessUntilMicros;
+    }
+
     /** The token to answer with. */
     public long term() {
         return term;
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -106,9 +106,9 @@
                 });
         users = new UserDesk(scheduler, store, catalog, deployment.teams(), deployment.state(),
                 this::progress);
-        surroundings = new Leader.Surroundings(scheduler, store, calls, cloud, catalog, election, deployment, policy,
-                settings.member(), Set.copyOf(settings.peers().keySet()), metrics);
         deputy = new Deputy(scheduler, Safety.of(deployment.workers()), settings.member(), random.nextLong());
+        surroundings = new Leader.Surroundings(scheduler, store, calls, cloud, catalog, election, deployment, policy,
+                settings.member(), Set.copyOf(settings.peers().keySet()), metrics, deputy::harmlessUntilMicros);
         reports = new ReportDesk(new ReportDesk.Surroundings(scheduler, election, deputy,
                 new Detours(random, settings.maxSockets()), peers, settings.member(), () -> leader, store::answersLately),
                 policy.deputies(), 2 * policy.holdMicros(), settings.maxSockets());
@@ -156,6 +156,9 @@
             peers.broadcast(MeshFrame.encode(new MeshFrame.Progress(leader.number(), leader.someProgress())));
         }
         long grantMicros = leader == null ? 0 : leader.grantMicros();
+        if (grantMicros > 0) {
+            deputy.harmlessUntil(now + grantMicros);
+        }
         List<MeshFrame.Echo> echoes = grantMicros > 0 ? leader.granted(deputy.echoes(), grantMicros) : deputy.echoes();
         deputy.frames(election.highestTerm(), grantMicros, echoes)
                 .forEach(frame -> peers.broadcast(MeshFrame.encode(frame)));
--- a/src/main/java/madderrudder/service/ReportDesk.java
+++ b/src/main/java/madderrudder/service/ReportDesk.java
@@ -57,7 +57,7 @@
     private boolean standingIn;
     private long stoodIn;
 
-    /** A report that came while nobody led. */
+    /** A report that came while it was not clear who answers it. */
     private record Homeless(WorkerReport report, byte[] body, Consumer<HttpResponse> answer) {
     }
 
@@ -98,7 +98,7 @@
             return;
         }
         Homeless arrived = new Homeless(report, body, answer);
-        if (around.leader().get() == null && election.leader() == null && homeless.size() < mostHomeless) {
+        if (!settled() && homeless.size() < mostHomeless) {
             keep(arrived);
         } else {
             decide(arrived);
@@ -114,20 +114,26 @@
     }
 
     /**
-     * While nobody leads, a worker sent away comes back a second later at the earliest, and its lease runs.
-     * Its report is kept for a moment instead, and answered once it is clear by whom.
+     * While nobody leads, or the leader here has not read what there is, a worker sent away comes back a second later at the
+     * earliest, and its lease runs. Its report is kept for a moment instead, and answered once it is clear by whom.
      */
     private void keep(Homeless kept) {
         homeless.add(kept);
         scheduler.after(HOMELESS_MICROS, () -> {
             if (homeless.remove(kept)) {
-                follow(kept);
+                decide(kept);
             }
         });
     }
 
+    /** Whether it is clear who answers reports. */
+    private boolean settled() {
+        Leader here = around.leader().get();
+        return here != null ? here.takesReports() : election.leader() != null;
+    }
+
     private void settle() {
-        boolean led = around.leader().get() != null || election.leader() != null;
+        boolean led = settled();
         if (led) {
             lastLedMicros = scheduler.nowMicros();
         }
--- a/src/test/java/madderrudder/sim/Rules.java
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -48,6 +48,8 @@
     /** Starts that a worker refused, and stops of tasks that then were placed again: orders that the truth made needless. */
     int refused;
     int stoppedInVain;
+    /** The longest time from telling a user of a cancellation to the end of a task of the job. */
+    long slowestEndMicros;
     /** When tasks of jobs that nobody cancels were stopped by command. */
     private final Map<TaskId, Long> stopped = new HashMap<>();
     /** What the workers' gangs know of each other. */
@@ -159,6 +161,11 @@
         return acceptedAt.entrySet().stream().filter(job -> job.getValue() < micros).map(Map.Entry::getKey).toList();
     }
 
+    /** How many tasks of jobs whose users were told of a cancellation are on a machine. */
+    long cancelledRunning() {
+        return onMachine.keySet().stream().filter(task -> toldCancelled.containsKey(task.job())).count();
+    }
+
     /** Its tasks are wanted: nobody has asked to cancel it, and it is not done. */
     boolean isLive(String job) {
         return accepted.contains(job) && !askedToCancel.contains(job)
@@ -177,6 +184,7 @@
 
     void taskEnds(TaskId task, SimWorker machine) {
         onMachine.remove(task, machine);
+        slowestEndMicros = Math.max(slowestEndMicros, sim.nowMicros - toldCancelled.getOrDefault(task.job(), sim.nowMicros));
     }
 
     /** A worker is told to forget a task that is done. */
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -53,6 +53,11 @@
     private long leftAtMicros;
     /** Requests that were too many or carried too many writes. */
     int tooMany;
+    private boolean readsFail;
+    private double lateShare;
+    /** Transactions that were carried out late and changed something, and those that found a newer state. */
+    int lateApplied;
+    int lateInVain;
 
     private record Entry(byte[] data, long version, long hold) {
     }
@@ -104,6 +109,36 @@
         sim.after(forMicros, () -> slowness = 1);
     }
 
+    /** Ranges get 429, while all else is served. */
+    void failReads(long forMicros) {
+        readsFail = true;
+        sim.after(forMicros, () -> readsFail = false);
+    }
+
+    /** Of transactions this share gets no answer, and is carried out 2 to 12 s later, after newer ones. */
+    void lateWrites(double share, long forMicros) {
+        lateShare = share;
+        sim.after(forMicros, () -> lateShare = 0);
+    }
+
+    private void late(Fields transaction) {
+        sim.after(2 * World.SECOND + sim.random.nextLong(10 * World.SECOND), () -> {
+            expire();
+            if (down) {
+                late(transaction);
+                return;
+            }
+            try {
+                commit(transaction, response -> {
+                    lateApplied += response.status() == 200 ? 1 : 0;
+                    lateInVain += response.status() == 200 ? 0 : 1;
+                });
+            } catch (MalformedMessage e) {
+                throw new AssertionError("the store got nonsense", e);
+            }
+        });
+    }
+
     void refuse(String host, long forMicros) {
         refused.add(host);
         sim.after(forMicros, () -> refused.remove(host));
@@ -127,8 +162,12 @@
                 follow(host, query(request), answer, sim.nowMicros);
             } else if (down || refused.contains(host)) {
                 answer.accept(HttpResponse.of(503, Json.error("trouble")));
+            } else if (path.equals("/commit") && lateShare > 0 && sim.chance(lateShare)) {
+                late(Json.readObject(request.body()));
             } else if (path.equals("/commit")) {
                 commit(Json.readObject(request.body()), answer);
+            } else if (path.equals("/store") && readsFail) {
+                answer.accept(HttpResponse.of(429, Json.error("too many")));
             } else if (path.equals("/store")) {
                 range(query(request), answer);
             } else if (path.startsWith("/store/")) {
--- a/src/test/java/madderrudder/sim/SimUsers.java
+++ b/src/test/java/madderrudder/sim/SimUsers.java
@@ -1,6 +1,7 @@
 package madderrudder.sim;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import madderrudder.coordination.policy.Deployment;
@@ -79,6 +80,13 @@
         submitted.stream().filter(job -> !rules.finished(job)).forEach(this::withdraw);
     }
 
+    /** So many of the jobs that have tasks somewhere are cancelled, those that would run on first. */
+    void cancelSome(int most) {
+        submitted.stream().filter(job -> rules.isLive(job) && rules.held().stream().anyMatch(task -> task.job().equals(job)))
+                .sorted(Comparator.comparing(job -> rules.spec(job).kind() != Kind.SERVICE)).limit(most).toList()
+                .forEach(this::withdraw);
+    }
+
     /** From now on a team without a guarantee has jobs too, and some jobs have a mistake in them. */
     void visitors() {
         visitors = true;
