--- a/src/main/java/madderrudder/coordination/dealings/Leader.java
+++ b/src/main/java/madderrudder/coordination/dealings/Leader.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +23,7 @@
 import madderrudder.coordination.decisions.Placer;
 import madderrudder.coordination.decisions.Preemption;
 import madderrudder.coordination.membership.Election;
+import madderrudder.coordination.membership.StoodBack;
 import madderrudder.coordination.picture.Assignment;
 import madderrudder.coordination.picture.Job;
 import madderrudder.coordination.picture.Machine;
@@ -82,7 +82,7 @@
     private final Map<String, Waiting> waiting = new HashMap<>();
     /** The newest report of each machine that came while the store was being read. */
     private final Map<String, WorkerReport> early = new LinkedHashMap<>();
-    private final Set<String> stoodBack = new HashSet<>();
+    private final StoodBack stoodBack;
     private boolean ready;
     private boolean planSoon;
     private long lastPlanMicros;
@@ -101,6 +101,7 @@
     public Leader(Surroundings around, long number, long helmVersion, Runnable onLost) {
         this.around = around;
         term = new Term(around, number, helmVersion, onLost);
+        stoodBack = new StoodBack(number, around.others());
         fleet = new Fleet(term);
         jobs = new JobBook(term, fleet, this::planSoon);
         rentals = new Rentals(term, fleet, around.cloud());
@@ -189,27 +190,18 @@
      * worker's lease begins only after that.
      */
     private void answeredEarlier(Machine machine) {
-        machine.answeredMicros += othersStoodBack() ? 0 : term.safety.answerMicros();
-    }
-
-    private boolean othersStoodBack() {
-        return stoodBack.containsAll(around.others());
+        machine.answeredMicros += stoodBack.all() ? 0 : term.safety.answerMicros();
     }
 
     /**
-     * Another controller has said that it knows of this term, so it does not answer for an earlier one any
-     * more. Once all have, no machine's lease can be renewed but by this leader: a machine that has died
-     * is then known to be empty a lease later, without the time an earlier leader might have gone on.
+     * No machine's lease can be renewed under an earlier term any more: one that has died is known to be empty a lease from
+     * now, without the time an earlier leader might have gone on.
      */
-    public void standsBack(String member) {
-        boolean before = othersStoodBack();
-        stoodBack.add(member);
-        if (!before && othersStoodBack()) {
-            long now = term.scheduler.nowMicros();
-            for (Machine machine : term.cluster.machines.values()) {
-                if (!machine.reported) {
-                    machine.answeredMicros = Math.min(machine.answeredMicros, now);
-                }
+    private void othersStoodBack() {
+        long now = term.scheduler.nowMicros();
+        for (Machine machine : term.cluster.machines.values()) {
+            if (!machine.reported) {
+                machine.answeredMicros = Math.min(machine.answeredMicros, now);
             }
         }
     }
@@ -283,6 +275,9 @@
     public void heard(Standing standing, Echo mine) {
         if (around.others().contains(standing.member())) {
             term.deputies.heard(standing, mine, term.scheduler.nowMicros());
+            if (stoodBack.heard(standing, mine, term.scheduler.nowMicros())) {
+                othersStoodBack();
+            }
         }
     }
 
--- a/src/main/java/madderrudder/service/Node.java
+++ b/src/main/java/madderrudder/service/Node.java
@@ -175,9 +175,6 @@
                 if (leader == null && pulse.member().equals(election.leader())) {
                     writes.lent(pulse.spareMilliWrites() / 1000.0, scheduler.nowMicros());
                 }
-                if (leader != null && pulse.term() >= leader.number()) {
-                    leader.standsBack(pulse.member());
-                }
             } else if (frame instanceof MeshFrame.Progress progress) {
                 if (progress.term() >= election.highestTerm()) {
                     progress.jobs().forEach(job -> told.put(job.job(), job));
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -159,8 +159,12 @@
     }
 
     private static World calmDay(long seed, boolean deputies) {
-        Deployment.WorkerTimes patient = new Deployment.WorkerTimes(1_500_000, 20 * World.SECOND, 20 * World.SECOND,
-                4 * World.SECOND, 70 * World.SECOND);
+        return calmDay(seed, deputies, 20 * World.SECOND, 70 * World.SECOND);
+    }
+
+    private static World calmDay(long seed, boolean deputies, long leaseMicros, long cancelMicros) {
+        Deployment.WorkerTimes patient = new Deployment.WorkerTimes(1_500_000, leaseMicros, 20 * World.SECOND,
+                4 * World.SECOND, cancelMicros);
         Policy policy = new Policy(3_000_000, 1_000_000, 20, 100_000_000, 15_000_000, Policy.SpotMode.ALWAYS, 3_000_000,
                 0.1, 0.1, deputies, false);
         World world = new World(seed, patient, patient, policy);
@@ -293,6 +297,47 @@
         assertEquals(List.of(), world.store.broken);
     }
 
+    /**
+     * Once all other controllers know of a new term, none answers for an earlier one; one that says so and ends at once may be
+     * followed by a process that does not know it, and gets a grant of the leader before. Its workers' tasks were placed elsewhere.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void aNewProcessDoesNotKnowWhatItsPredecessorKnew(long seed) {
+        World world = calmDay(seed, true, 30 * World.SECOND, 90 * World.SECOND);
+        String old = world.leader();
+        List<String> others = world.names().stream().filter(name -> !name.equals(old)).toList();
+        String deputy = others.get(0);
+        String next = others.get(1);
+        long day = 300 * World.SECOND;
+        world.store.refuse(old, 40 * World.SECOND);
+        world.store.refuse(deputy, 60 * World.SECOND);
+        world.net.cut(old, next, false, 7_500_000);
+        world.net.cut(old, deputy, false, 5_500_000);
+        List<SimWorker> apart = world.cloud.workers().stream().filter(worker -> world.rules.tasksOn(worker) > 0).toList();
+        apart.forEach(worker -> List.of(old, next).forEach(name -> world.net.cut(name, worker.id, false, 60 * World.SECOND)));
+        // While such a job has tasks where nobody comes by, the next leader grants nothing, and waits for no grant of its own.
+        world.users.cancelSome(1);
+        while (!world.leads(next) && world.sim.nowMicros < 68 * World.SECOND) {
+            world.run(world.sim.nowMicros + World.SECOND / 10);
+        }
+        assertTrue(world.leads(next), "the next leader was not elected");
+        world.run(world.sim.nowMicros + World.SECOND);
+        world.net.cut(deputy, next, false, 60 * World.SECOND);
+        world.crash(deputy, World.SECOND / 2);
+        // It hears the old leader alone, until that one hears of the new term.
+        world.run(67_400_000);
+        world.net.cut(old, deputy, false, 60 * World.SECOND);
+                world.run(120 * World.SECOND);
+        assertTrue(apart.stream().anyMatch(worker -> !worker.gone() && worker.answered > 0 && !worker.leaseOver()),
+                "no worker was kept by the new process");
+        assertEquals(List.of(), world.rules.broken);
+        assertEquals(List.of(), world.store.broken);
+        world.run(day);
+        assertEquals(List.of(), world.rules.broken);
+        assertEquals(List.of(), world.store.broken);
+    }
+
     /** Workers that can't reach the leader are served through controllers that can: they get starts too. */
     @ParameterizedTest
     @ValueSource(longs = {2, 3, 4, 5})
--- a/src/test/java/madderrudder/sim/Rules.java
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -40,6 +40,8 @@
     /** Jobs with a mistake in them, which fail on every machine; and how often they did. */
     final Set<String> mistaken = new HashSet<>();
     int mistakes;
+    /** Jobs whose tasks end one after the other, each three times the estimated time later. */
+    final Set<String> apart = new HashSet<>();
     private final Map<String, Long> submittedAt = new HashMap<>();
     /** When the first task of each job was on a machine, of a gang all. */
     private final Map<String, Long> begunAt = new HashMap<>();
@@ -166,6 +168,16 @@
         return onMachine.keySet().stream().filter(task -> toldCancelled.containsKey(task.job())).count();
     }
 
+    /** How many jobs have completed some of their tasks and not all. */
+    long halfDone() {
+        return completed.entrySet().stream().filter(job -> job.getValue().size() < submitted.get(job.getKey()).tasks()).count();
+    }
+
+    /** How many tasks are on machines. */
+    int onMachines() {
+        return onMachine.size();
+    }
+
     /** Its tasks are wanted: nobody has asked to cancel it, and it is not done. */
     boolean isLive(String job) {
         return accepted.contains(job) && !askedToCancel.contains(job)
--- a/src/test/java/madderrudder/sim/SimNet.java
+++ b/src/test/java/madderrudder/sim/SimNet.java
@@ -31,6 +31,11 @@
     private final Set<String> deaf = new HashSet<>();
     private long copiesUntilMicros;
     private long copiesLateMicros;
+    private long reportsUntilMicros;
+    private long reportsLateMicros;
+    private double reportsShare;
+    /** Copies of reports that have come at least two seconds late. */
+    int lateReports;
 
     /** What answers at an address, and on which host. */
     private record Served(String host, HttpExchange exchange) {
@@ -92,6 +97,22 @@
         copiesLateMicros = lateMicros;
     }
 
+    /** Of this share of reports a copy comes, to any controller, from two seconds to so long later. */
+    void lateReports(double share, long forMicros, long lateMicros) {
+        reportsShare = share;
+        reportsUntilMicros = sim.nowMicros + forMicros;
+        reportsLateMicros = lateMicros;
+    }
+
+    private void lateCopy(String from, HttpRequest report) {
+        if (sim.nowMicros < reportsUntilMicros && sim.chance(reportsShare)) {
+            sim.after(2 * World.SECOND + sim.random.nextLong(reportsLateMicros), () -> {
+                lateReports++;
+                deliver(from, someController(), report, response -> { });
+            });
+        }
+    }
+
     private void copy(Runnable message) {
         while (sim.nowMicros < copiesUntilMicros && sim.chance(0.3)) {
             sim.after(sim.random.nextLong(copiesLateMicros), message);
@@ -150,6 +171,9 @@
             clock.after(timeoutMicros, () -> once.accept(HttpResponse.silent()));
             carry(from, target.host(), () -> deliver(from, address, request,
                     response -> clock.execute(() -> once.accept(response))));
+            if (request.path().equals("/hello")) {
+                lateCopy(from, request);
+            }
             copy(() -> deliver(from, request.path().equals("/hello") ? someController() : address, request, response -> { }));
         };
     }
--- a/src/test/java/madderrudder/sim/SimWorker.java
+++ b/src/test/java/madderrudder/sim/SimWorker.java
@@ -383,7 +383,8 @@
         } else if (job.kind() == Kind.GANG) {
             gather(task, job);
         } else if (job.kind() != Kind.SERVICE) {
-            long runMicros = (long) (job.estimateMicros() * (0.5 + sim.random.nextDouble()));
+            int steps = rules.apart.contains(job.id()) ? 1 + 3 * task.id.index() : 1;
+            long runMicros = (long) (steps * job.estimateMicros() * (0.5 + sim.random.nextDouble()));
             clock.after(runMicros, () -> whenAwake(() -> {
                 if (task.state.equals("running") && tasks.containsValue(task)) {
                     if (sim.chance(0.03)) {
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -185,6 +185,19 @@
         return answers.get(0);
     }
 
+    /** The highest term that a controller knows of. */
+    long term() {
+        try {
+            long highest = 0;
+            for (String name : running.keySet()) {
+                highest = Math.max(highest, ask(name, "/metrics").count("term"));
+            }
+            return highest;
+        } catch (MalformedMessage e) {
+            throw new AssertionError(e);
+        }
+    }
+
     /** The machines of a zone that have tasks, with the sessions of their workers. */
     Map<SimWorker, Long> busyIn(String zone) {
         Map<SimWorker, Long> sessions = new LinkedHashMap<>();
