--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -312,7 +312,7 @@
         String node = names().get(sim.random.nextInt(3));
         List<SimWorker> workers = new ArrayList<>(cloud.workers());
         SimWorker worker = workers.isEmpty() ? null : workers.get(sim.random.nextInt(workers.size()));
-        switch (sim.random.nextInt(27)) {
+        switch (sim.random.nextInt(32)) {
             case 0 -> crash(node, 3 * SECOND);
             case 1 -> names().forEach(name -> crash(name, 2 * SECOND + sim.random.nextLong(SECOND)));
             case 2 -> store.outage(time);
@@ -343,6 +343,12 @@
             case 20 -> names().forEach(this::blink);
             case 21 -> users.askOften(8, time);
             case 22 -> cloud.bootTrouble(sim.chance(0.5) ? 0.6 : 0, sim.chance(0.5) ? 5 : 0.05, time);
+            case 23 -> gap();
+            case 24 -> store.lateWrites(0.3, time);
+            case 25 -> net.lateReports(0.4, time, 40 * SECOND);
+            case 26 -> store.failReads(time / 2);
+            case 27 -> workers.stream().filter(one -> sim.chance(0.3)).forEach(one ->
+                    net.cut(leader(), one.id, true, SECOND + sim.random.nextLong(8 * SECOND)));
             default -> {
                 if (worker != null) {
                     workerTrouble(worker, hold, time);
@@ -351,6 +357,14 @@
         }
     }
 
+    /** The store refuses the leader alone while users cancel, and then everybody, mostly for longer than the time for cancelling. */
+    private void gap() {
+        store.refuse(leader(), SECOND + sim.random.nextLong(12 * SECOND));
+        users.cancelSome(4);
+        sim.after(SECOND + sim.random.nextLong(2 * SECOND), () -> store.outage(
+                (long) (deployment.workers().cancelMicros() * (0.5 + 0.7 * sim.random.nextDouble()))));
+    }
+
     /** One machine, a tenth of them or a zone sends reports, and nothing reaches it. */
     private void deafen(List<SimWorker> workers, long forMicros) {
         int which = sim.random.nextInt(3);
