A controller that starts while the store is away learns who leads

Cause, seen in the log of a test for hand-overs ('answering workers in the stead of null'): a process that hears of the term from a worker first took a leader's name with a higher term only, so that until the store was back it sent workers nowhere and passed no report on.

Change: the name is taken with the same term too, as long as none is known and the lead is not known to be vacant.

--- a/src/main/java/madderrudder/coordination/membership/Election.java
+++ b/src/main/java/madderrudder/coordination/membership/Election.java
@@ -95,8 +95,14 @@
         return holdEndMicros;
     }
 
-    /** A term heard of from a peer or a worker. Somebody with a higher one has replaced this leader. */
+    /**
+     * A term heard of from a peer or a worker. Somebody with a higher one has replaced this leader. A process that starts while
+     * the store is away mostly hears of the term from a worker first, and of its leader later.
+     */
     public void heard(long otherTerm, String otherLeader) {
+        if (otherTerm == highestTerm && leader == null && !vacant && otherLeader != null && !otherLeader.isEmpty()) {
+            leader = otherLeader;
+        }
         if (otherTerm > highestTerm) {
             highestTerm = otherTerm;
             if (otherLeader != null && !otherLeader.isEmpty()) {
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.LongStream;
 import madderrudder.coordination.policy.Deployment;
 import madderrudder.coordination.policy.Policy;
+import madderrudder.protocol.MalformedMessage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -338,6 +339,26 @@
         assertEquals(List.of(), world.store.broken);
     }
 
+    /**
+     * A controller that starts while the store is away learns from the others who leads, though workers have told it of the term
+     * before: it once sent workers nowhere until the store was back.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void whoStartsInAnOutageLearnsWhoLeads(long seed) throws MalformedMessage {
+        World world = calmDay(seed, true);
+        String leader = world.leader();
+        String back = world.names().stream().filter(name -> !name.equals(leader)).findFirst().orElseThrow();
+        world.store.outage(20 * World.SECOND);
+        world.crash(back, World.SECOND / 5);
+        world.sim.after(World.SECOND / 5 + 1_000, () -> world.cloud.workers().forEach(
+                worker -> world.report(back, worker, worker.session(), 0, false)));
+        world.run(63 * World.SECOND);
+        assertEquals(leader, world.ask(back, "/metrics").text("leader"));
+        world.run(120 * World.SECOND);
+        assertEquals(List.of(), world.rules.broken);
+    }
+
     /** Workers that can't reach the leader are served through controllers that can: they get starts too. */
     @ParameterizedTest
     @ValueSource(longs = {2, 3, 4, 5})
