--- a/src/test/java/madderrudder/sim/MeetingsTest.java
+++ b/src/test/java/madderrudder/sim/MeetingsTest.java
@@ -50,13 +50,14 @@
         ENDS_FAR_APART {
             @Override
             void begin(World world) {
-                for (int i = 0; i < 6; i++) {
+                world.store.slow(30, 45 * SECOND);
+                for (int i = 0; i < 9; i++) {
                     JobSpec job = new JobSpec("req-70000" + i, "pair", SimUsers.GUEST, Kind.ARRAY, Priority.HIGH, 2 + i % 2,
                             Resources.of(0.5, 0, 1), "img-0", 1.0, null, null, false, false, true, 4_000_000, 0, 0, 0);
                     world.rules.apart.add(job.id());
                     world.users.bring(job);
                 }
-                for (int second = 8; second < 50; second += 7) {
+                for (int second = 8; second < 70; second += 7) {
                     in(world, second, () -> {
                         seen = Math.max(seen, world.rules.halfDone());
                         if (world.sim.chance(0.5)) {
