--- a/src/test/java/madderrudder/coordination/membership/DeputiesTest.java
+++ b/src/test/java/madderrudder/coordination/membership/DeputiesTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import madderrudder.coordination.policy.Safety;
 import madderrudder.protocol.MeshFrame.Answer;
 import madderrudder.protocol.MeshFrame.Answered;
@@ -170,6 +171,39 @@
         assertFalse(deputy.mayAnswer(4));
     }
 
+    /** What a leader that has not read the store goes by: the latest end of any grant, also of an earlier term, or one of its own. */
+    @Test
+    void answersWithoutCommandsAreHarmlessUntilTheLatestGrantEnds() {
+        assertTrue(deputy.harmlessUntilMicros() < 0, "a process without a grant knows nothing");
+        deputy.take(grant(3, 20 * SECOND, LIFE, 100 * SECOND), 3);
+        deputy.take(grant(4, SECOND, LIFE, 102 * SECOND), 4);
+        deputy.take(grant(5, 0, LIFE, 140 * SECOND), 5);
+        deputy.take(grant(5, 50 * SECOND, LIFE + 1, 140 * SECOND), 5);
+        assertEquals(100 * SECOND + Safety.shortened(20 * SECOND), deputy.harmlessUntilMicros());
+        deputy.harmlessUntil(125 * SECOND);
+        deputy.harmlessUntil(110 * SECOND);
+        assertEquals(125 * SECOND, deputy.harmlessUntilMicros());
+    }
+
+    /** Each has to say it again in answer to what was sent after all had said it: the next process may not know. */
+    @Test
+    void othersStandBackInTwoRounds() {
+        StoodBack stoodBack = new StoodBack(3, Set.of("n-1", "n-2"));
+        Standing one = says(LIFE, 0);
+        Standing two = new Standing("n-2", 1, 5, 0, 3, 0, 0, List.of());
+        Standing unknowing = new Standing("n-1", LIFE + 1, 5, 0, 2, 0, 0, List.of());
+        assertFalse(stoodBack.heard(one, stamp(9 * SECOND), 10 * SECOND));
+        assertFalse(stoodBack.heard(one, stamp(11 * SECOND), 11 * SECOND), "the other has not said it");
+        assertFalse(stoodBack.heard(two, stamp(11 * SECOND), 12 * SECOND));
+        assertFalse(stoodBack.heard(one, stamp(12 * SECOND), 13 * SECOND), "sent before all had said it");
+        assertFalse(stoodBack.heard(one, null, 13 * SECOND));
+        assertFalse(stoodBack.heard(two, stamp(13 * SECOND), 14 * SECOND));
+        assertFalse(stoodBack.heard(unknowing, stamp(13 * SECOND), 14 * SECOND), "its next process does not know");
+        assertFalse(stoodBack.all());
+        assertTrue(stoodBack.heard(one, stamp(14 * SECOND), 15 * SECOND));
+        assertTrue(stoodBack.all() && !stoodBack.heard(one, stamp(15 * SECOND), 16 * SECOND), "said once");
+    }
+
     private static WorkerReport report(String machine, long seq) {
         return new WorkerReport(machine, "", "box", "east", false, 1, seq, 3, -1, List.of());
     }
