--- a/src/test/java/madderrudder/sim/GapTest.java
+++ b/src/test/java/madderrudder/sim/GapTest.java
@@ -69,6 +69,19 @@
                 world.names().forEach(other -> world.net.cut(leader, other, world.sim.chance(0.5), times.answerMicros()));
             }
         },
+        /** Workers can't reach it, and their reports are passed on by others. */
+        PASSED_ON {
+            @Override
+            void before(World world, String leader, Times times) {
+                world.cloud.workers().stream().filter(worker -> worker.zone.equals("east"))
+                        .forEach(worker -> world.net.cut(leader, worker.id, false, 2 * times.workers.cancelMicros()));
+            }
+
+            @Override
+            boolean happened(World world) {
+                return world.names().stream().anyMatch(name -> world.metric(name, "reports_passed_on") > 0);
+            }
+        },
         /** Its hold ends before the outage; another is elected, and can't read what there is. */
         UNREAD {
             @Override
@@ -93,6 +106,10 @@
         void befalls(World world, String leader, Times times) {
         }
 
+        boolean happened(World world) {
+            return true;
+        }
+
         /** What comes between the confirmations and the outage. */
         void before(World world, String leader, Times times) {
         }
@@ -148,6 +165,7 @@
         assertTrue(confirmed > 0, "no task of a cancelled job was running when the store went away");
         // Without deputies nothing is granted, and a leader that has not read what there is keeps silent.
         assertTrue(answered > 0 || course.fate() == Fate.UNREAD && !course.deputies(), "no report was answered after the confirmations");
+        assertTrue(course.fate().happened(world) || !course.deputies(), course.fate() + " did not come about");
         world.run(world.sim.nowMicros + 2 * workers.cancelMicros());
         assertEquals(List.of(), world.rules.broken);
         assertEquals(List.of(), world.store.broken);
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -185,19 +185,20 @@
         return answers.get(0);
     }
 
-    /** The highest term that a controller knows of. */
-    long term() {
+    /** A count that a controller tells operators, 0 if it is down. */
+    long metric(String name, String field) {
         try {
-            long highest = 0;
-            for (String name : running.keySet()) {
-                highest = Math.max(highest, ask(name, "/metrics").count("term"));
-            }
-            return highest;
+            return running.containsKey(name) ? ask(name, "/metrics").count(field) : 0;
         } catch (MalformedMessage e) {
             throw new AssertionError(e);
         }
     }
 
+    /** The highest term that a controller knows of. */
+    long term() {
+        return names().stream().mapToLong(name -> metric(name, "term")).max().orElse(0);
+    }
+
     /** The machines of a zone that have tasks, with the sessions of their workers. */
     Map<SimWorker, Long> busyIn(String zone) {
         Map<SimWorker, Long> sessions = new LinkedHashMap<>();
