The pairs of a list are made in one place

Found on rereading: MeetingsTest and UnlistedTroublesTest each wrote out every two of their troubles.

--- a/src/test/java/madderrudder/sim/MeetingsTest.java
+++ b/src/test/java/madderrudder/sim/MeetingsTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import madderrudder.coordination.policy.Policy;
 import madderrudder.protocol.JobSpec;
@@ -221,9 +220,7 @@
     }
 
     static Stream<List<Meeting>> pairs() {
-        Meeting[] all = Meeting.values();
-        return IntStream.range(0, all.length).boxed()
-                .flatMap(i -> IntStream.range(i + 1, all.length).mapToObj(j -> List.of(all[i], all[j])));
+        return World.pairs(Meeting.values());
     }
 
     @ParameterizedTest
--- a/src/test/java/madderrudder/sim/UnlistedTroublesTest.java
+++ b/src/test/java/madderrudder/sim/UnlistedTroublesTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import madderrudder.coordination.policy.Policy;
 import madderrudder.protocol.JobSpec;
@@ -155,9 +154,7 @@
     }
 
     static Stream<List<Trouble>> pairs() {
-        Trouble[] all = Trouble.values();
-        return IntStream.range(0, all.length).boxed()
-                .flatMap(i -> IntStream.range(i + 1, all.length).mapToObj(j -> List.of(all[i], all[j])));
+        return World.pairs(Trouble.values());
     }
 
     @ParameterizedTest
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -12,6 +12,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntConsumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import madderrudder.coordination.policy.Deployment;
 import madderrudder.coordination.policy.Objectives;
 import madderrudder.coordination.policy.Policy;
@@ -107,6 +109,12 @@
         return new Deployment.WorkerTimes(1_500_000, 10 * SECOND, 20 * SECOND, 4 * SECOND, 30 * SECOND);
     }
 
+    /** Each two of them, once. */
+    static <T> Stream<List<T>> pairs(T[] all) {
+        return IntStream.range(0, all.length).boxed()
+                .flatMap(i -> IntStream.range(i + 1, all.length).mapToObj(j -> List.of(all[i], all[j])));
+    }
+
     List<String> names() {
         return List.copyOf(addresses.keySet());
     }
