--- a/src/main/java/madderrudder/protocol/JobCodec.java
+++ b/src/main/java/madderrudder/protocol/JobCodec.java
@@ -29,6 +29,10 @@
         return id;
     }
 
+    /**
+     * A job; fails with the name of the field that is missing or invalid. Only {@code builds}, {@code berth} and {@code tide_s} may be
+     * null, and so may be left out.
+     */
     public static JobSpec read(Fields in) throws MalformedMessage {
         Kind kind = switch (in.text("cut")) {
             case "array" -> Kind.ARRAY;
@@ -48,7 +52,7 @@
             throw new MalformedMessage("field strokes is out of range");
         }
         Resources perTask = Resources.of(
-                in.amount("cores"), in.amount("accelerators", 0), in.amount("mem_gb"));
+                in.amount("cores"), in.amount("accelerators"), in.amount("mem_gb"));
         if (perTask.milliCpus() == 0 && perTask.milliGpus() == 0) {
             throw new MalformedMessage("field cores is out of range");
         }
@@ -62,9 +66,8 @@
         long deadlineMicros = in.secondsAsMicros("tide_s", 0);
         return new JobSpec(readId(in), name(in, "rig"), name(in, "crew"), kind, priority, (int) tasks, perTask,
                 name(in, "hull"), in.amount("image_gb"), types, in.has("berth") ? name(in, "berth") : null,
-                in.flag("one_zone", false), in.flag("apart", false), in.flag("driftwood", false),
-                in.secondsAsMicros("reckon_s", 0), in.secondsAsMicros("mark_s", 0),
-                in.secondsAsMicros("stow_s", 0), deadlineMicros);
+                in.flag("one_zone"), in.flag("apart"), in.flag("driftwood"), in.secondsAsMicros("reckon_s"),
+                in.secondsAsMicros("mark_s"), in.secondsAsMicros("stow_s"), deadlineMicros);
     }
 
     private static String name(Fields in, String field) throws MalformedMessage {
--- a/src/test/java/madderrudder/protocol/CodecTest.java
+++ b/src/test/java/madderrudder/protocol/CodecTest.java
@@ -46,6 +46,25 @@
         assertThrows(MalformedMessage.class, () -> job(JOB.replace(parts[0], parts[1])));
     }
 
+    /** Jobs that lacked one of the last seven were once taken, with a value that nobody had said. */
+    @ParameterizedTest
+    @ValueSource(strings = {"id", "rig", "crew", "cut", "rank", "strokes", "cores", "mem_gb", "hull", "image_gb", "accelerators",
+        "one_zone", "apart", "driftwood", "reckon_s", "mark_s", "stow_s"})
+    void aJobNeedsEachFieldThatMayNotBeNull(String field) throws MalformedMessage {
+        String text = JOB.replace("16", "1");
+        assertEquals(1, job(text).tasks());
+        String value = "'" + field + "':('[^']*'|[^,]*)";
+        assertThrows(MalformedMessage.class, () -> job(text.replaceFirst(value + ",", "")));
+        assertThrows(MalformedMessage.class, () -> job(text.replaceFirst(value, "'" + field + "':null")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"'builds':['g8'],", "'berth':null,", "'tide_s':900.0,"})
+    void whatMayBeNullMayBeLeftOut(String field) throws MalformedMessage {
+        assertTrue(JOB.contains(field));
+        assertEquals(16, job(JOB.replace(field, "")).tasks());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "[]", "7", "{", "{}}", "{'a':1}x", "nul", "{'a':}"})
     void refusesWhatIsNoObject(String text) {
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -55,6 +55,7 @@
         troubles(world);
         world.run(QUIET);
         world.users.askAboutAll();
+        world.lookWhoWaits();
         world.run(CANCEL_AT);
         world.rules.endOfDay();
         world.users.cancelEverything();
--- a/src/test/java/madderrudder/sim/Rules.java
+++ b/src/test/java/madderrudder/sim/Rules.java
@@ -6,12 +6,15 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.IntStream;
 import madderrudder.coordination.policy.Deployment;
 import madderrudder.protocol.JobSpec;
 import madderrudder.protocol.Kind;
@@ -22,6 +25,7 @@
 final class Rules {
     private static final long FORGOTTEN_MICROS = 75 * World.SECOND;
     private static final long LARGEST_BEGIN_MICROS = 240 * World.SECOND;
+    private static final long LEFT_WAITING_MICROS = 90 * World.SECOND;
 
     private final Sim sim;
     private final Deployment deployment;
@@ -50,6 +54,17 @@
     /** Starts that a worker refused, and stops of tasks that then were placed again: orders that the truth made needless. */
     int refused;
     int stoppedInVain;
+    /** Starts after the user was told of the cancellation: of tasks whose worker had its order before, and of others. */
+    int startsOnTheirWay;
+    int startsOrderedLate;
+    /** When workers were told to start what they have. */
+    private final Map<TaskId, Long> orderedAt = new HashMap<>();
+    /** Since when a job waits while there is room for it; looked at once all troubles are over. */
+    private final Map<String, Long> roomSince = new HashMap<>();
+    /** Told of a job that all of its tasks have completed, at that moment. */
+    Consumer<String> onEnd = job -> { };
+    /** Told of a job whose user has just learned that it is accepted, done or cancelled. */
+    Consumer<String> onNews = job -> { };
     /** The longest time from telling a user of a cancellation to the end of a task of the job. */
     long slowestEndMicros;
     /** When tasks of jobs that nobody cancels were stopped by command. */
@@ -99,6 +114,11 @@
         if (told != null && sim.nowMicros - told > deployment.workers().cancelMicros()) {
             breaks("ran_cancelled", task + " starts on " + machine.id);
         }
+        if (told != null && orderedAt.getOrDefault(task, 0L) > told) {
+            startsOrderedLate++;
+        } else if (told != null) {
+            startsOnTheirWay++;
+        }
         SimWorker other = onMachine.put(task, machine);
         if (other != null && other != machine) {
             breaks("ran_twice", task + " on " + machine.id + " while on " + other.id);
@@ -142,6 +162,7 @@
 
     void taskComes(TaskId task, SimWorker machine) {
         held.put(task, machine);
+        orderedAt.put(task, sim.nowMicros);
         Long at = stopped.remove(task);
         stoppedInVain += at != null && sim.nowMicros - at < 30 * World.SECOND ? 1 : 0;
     }
@@ -181,7 +202,7 @@
     /** Its tasks are wanted: nobody has asked to cancel it, and it is not done. */
     boolean isLive(String job) {
         return accepted.contains(job) && !askedToCancel.contains(job)
-                && completed.getOrDefault(job, Set.of()).size() < submitted.get(job).tasks();
+                && !isDone(job);
     }
 
     void taskGoes(TaskId task, SimWorker machine) {
@@ -207,7 +228,20 @@
     }
 
     void taskCompletes(TaskId task) {
-        completed.computeIfAbsent(task.job(), job -> new HashSet<>()).add(task.index());
+        if (completed.computeIfAbsent(task.job(), job -> new HashSet<>()).add(task.index()) && isDone(task.job())) {
+            onEnd.accept(task.job());
+        }
+    }
+
+    private boolean isDone(String job) {
+        return completed.getOrDefault(job, Set.of()).size() == submitted.get(job).tasks();
+    }
+
+    /** A request that must be refused: the job can't run, or lacks a field. */
+    void toldOfWrong(String request, int status) {
+        if (status == 200 || status == 201) {
+            breaks("accepted_wrong", request + " got " + status);
+        }
     }
 
     long tasksOn(SimWorker machine) {
@@ -231,7 +265,7 @@
             breaks("invented", job);
             return;
         }
-        accepted.add(job);
+        boolean news = accepted.add(job);
         answeredAt.put(job, sim.nowMicros);
         acceptedAt.putIfAbsent(job, sim.nowMicros);
         boolean done = state.equals("done");
@@ -242,19 +276,92 @@
             breaks("went_back", job + " called " + state);
         }
         if (done) {
-            toldDone.putIfAbsent(job, sim.nowMicros);
-            if (completed.getOrDefault(job, Set.of()).size() < submitted.get(job).tasks()) {
+            news |= toldDone.putIfAbsent(job, sim.nowMicros) == null;
+            if (!isDone(job)) {
                 breaks("not_done", job);
             }
         }
         if (cancelled) {
             if (toldCancelled.putIfAbsent(job, sim.nowMicros) == null) {
+                news = true;
                 long by = sim.nowMicros + deployment.workers().cancelMicros();
                 for (int task = 0; task < submitted.get(job).tasks(); task++) {
                     doomed.addLast(new Doomed(new TaskId(job, task), by));
                 }
             }
         }
+        if (news) {
+            onNews.accept(job);
+        }
+    }
+
+    /**
+     * To be called each second once all troubles are over: no job is left waiting for so long while its team is under its limit and
+     * a machine that fits has room; for all that a gang lacks at once.
+     */
+    void lookWhoWaits(List<SimWorker> machines) {
+        for (String id : accepted) {
+            JobSpec job = submitted.get(id);
+            List<TaskId> waiting = IntStream.range(0, job.tasks()).mapToObj(index -> new TaskId(id, index))
+                    .filter(task -> holderOf(task) == null && !isCompleted(task)).toList();
+            int wanted = job.kind() == Kind.GANG ? waiting.size() : 1;
+            if (waiting.isEmpty() || !isLive(id) || mistaken.contains(id) || !hasRoom(job, wanted, machines)) {
+                roomSince.remove(id);
+            } else if (sim.nowMicros - roomSince.computeIfAbsent(id, one -> sim.nowMicros) > LEFT_WAITING_MICROS) {
+                breaks("left_waiting", waiting.size() + " tasks of " + job);
+                roomSince.put(id, Long.MAX_VALUE / 2);
+            }
+        }
+    }
+
+    private boolean hasRoom(JobSpec job, int wanted, List<SimWorker> machines) {
+        Resources usage = job.perTask().times(wanted);
+        Map<String, Integer> inZones = new HashMap<>();
+        for (TaskId task : held.keySet()) {
+            JobSpec its = submitted.get(task.job());
+            usage = its.team().equals(job.team()) ? usage.plus(its.perTask()) : usage;
+            if (task.job().equals(job.id())) {
+                inZones.merge(held.get(task).zone, 1, Integer::sum);
+            }
+        }
+        Map<String, Integer> room = new HashMap<>();
+        for (SimWorker machine : machines) {
+            if ((job.types() == null || job.types().contains(machine.type)) && (job.zone() == null || job.zone().equals(machine.zone))
+                    && (!machine.spot || job.spotAllowed()) && (!job.oneZone() || inZones.isEmpty() || inZones.containsKey(machine.zone))) {
+                room.merge(machine.zone, (int) job.perTask().timesIn(machine.free()), Integer::sum);
+            }
+        }
+        room.replaceAll((zone, tasks) -> Math.min(tasks, job.mostPerZone() - inZones.getOrDefault(zone, 0)));
+        int most = job.oneZone() ? room.values().stream().max(Integer::compare).orElse(0)
+                : room.values().stream().mapToInt(Integer::intValue).sum();
+        return most >= wanted && deployment.teams().get(job.team()).allows(usage);
+    }
+
+    /** How many tasks of live jobs no worker has. */
+    int waiting() {
+        return accepted.stream().filter(this::isLive).mapToInt(job -> (int) IntStream.range(0, submitted.get(job).tasks())
+                .mapToObj(index -> new TaskId(job, index)).filter(task -> !held.containsKey(task) && !isCompleted(task)).count()).sum();
+    }
+
+    /** The machines that have tasks of the job. */
+    Set<SimWorker> machinesOf(String job) {
+        Set<SimWorker> machines = new LinkedHashSet<>();
+        onMachine.forEach((task, machine) -> {
+            if (task.job().equals(job)) {
+                machines.add(machine);
+            }
+        });
+        return machines;
+    }
+
+    /** Whether nothing of the least size that its jobs want fits under the team's limit beside what its workers have. */
+    boolean atLimit(String team, Resources least) {
+        Resources usage = least;
+        for (TaskId task : held.keySet()) {
+            JobSpec its = submitted.get(task.job());
+            usage = its.team().equals(team) ? usage.plus(its.perTask()) : usage;
+        }
+        return !deployment.teams().get(team).allows(usage);
     }
 
     /** To be called after each step. */
@@ -311,7 +418,7 @@
 
     private boolean served(JobSpec job) {
         return begunAt.containsKey(job.id()) && (job.kind() != Kind.ARRAY || mistaken.contains(job.id()) || askedToCancel.contains(job.id())
-                || completed.getOrDefault(job.id(), Set.of()).size() == job.tasks());
+                || isDone(job.id()));
     }
 
     boolean finished(String job) {
--- a/src/test/java/madderrudder/sim/SimNet.java
+++ b/src/test/java/madderrudder/sim/SimNet.java
@@ -29,6 +29,12 @@
     private final Map<String, String> zones = new HashMap<>();
     /** Hosts that send, and that nothing reaches. */
     private final Set<String> deaf = new HashSet<>();
+    /** Machines that can open no connection to any controller, while direct commands reach them. */
+    private final Set<String> mute = new HashSet<>();
+    /** Copies of reports that wait for the next leader. */
+    private final List<Consumer<String>> kept = new ArrayList<>();
+    private double keptShare;
+    private int slowness = 1;
     private long copiesUntilMicros;
     private long copiesLateMicros;
     private long reportsUntilMicros;
@@ -88,6 +94,35 @@
         }
     }
 
+    /** All links take so many times as long. */
+    void slow(int factor, long forMicros) {
+        slowness = factor;
+        sim.after(forMicros, () -> slowness = 1);
+    }
+
+    /** The machine reaches no controller, while direct commands reach it, and its answers to them come back. */
+    void mute(String machine, long forMicros) {
+        if (mute.add(machine)) {
+            sim.after(forMicros, () -> mute.remove(machine));
+        }
+    }
+
+    /** Of this share of reports a copy is kept until {@link #deliverKept}. */
+    void keepReports(double share, long forMicros) {
+        keptShare = share;
+        sim.after(forMicros, () -> keptShare = 0);
+    }
+
+    /** The copies kept arrive at the address, if a controller is there. */
+    int deliverKept(String address) {
+        List.copyOf(kept).forEach(copy -> copy.accept(address));
+        return served.containsKey(address) ? kept.size() : 0;
+    }
+
+    void dropKept() {
+        kept.clear();
+    }
+
     /**
      * Of some messages another copy comes, or several, each up to so long after the first: of a report to any controller, of
      * everything else to whom it was sent. Nobody waits for what a copy is answered.
@@ -149,7 +184,7 @@
             return;
         }
         if (!deaf.contains(to) && !sim.chance(loss)) {
-            sim.after(LATENCY_MICROS / 2 + sim.random.nextLong(LATENCY_MICROS), message);
+            sim.after(slowness * (LATENCY_MICROS / 2 + sim.random.nextLong(LATENCY_MICROS)), message);
         }
     }
 
@@ -168,11 +203,18 @@
                 clock.after(sim.chance(0.5) ? LATENCY_MICROS : timeoutMicros, () -> once.accept(HttpResponse.notSent()));
                 return;
             }
+            if (mute.contains(from)) {
+                clock.after(timeoutMicros, () -> once.accept(HttpResponse.notSent()));
+                return;
+            }
             clock.after(timeoutMicros, () -> once.accept(HttpResponse.silent()));
             carry(from, target.host(), () -> deliver(from, address, request,
                     response -> clock.execute(() -> once.accept(response))));
             if (request.path().equals("/hello")) {
                 lateCopy(from, request);
+                if (keptShare > 0 && sim.chance(keptShare)) {
+                    kept.add(to -> deliver(from, to, request, response -> { }));
+                }
             }
             copy(() -> deliver(from, request.path().equals("/hello") ? someController() : address, request, response -> { }));
         };
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -55,6 +55,9 @@
     int tooMany;
     private boolean readsFail;
     private double lateShare;
+    private double unansweredShare;
+    /** Transactions that were carried out at once and whose answer was lost. */
+    int unanswered;
     /** Transactions that were carried out late and changed something, and those that found a newer state. */
     int lateApplied;
     int lateInVain;
@@ -121,6 +124,12 @@
         sim.after(forMicros, () -> lateShare = 0);
     }
 
+    /** This share of transactions is carried out at once, and only the answer is lost. */
+    void loseAnswers(double share, long forMicros) {
+        unansweredShare = share;
+        sim.after(forMicros, () -> unansweredShare = 0);
+    }
+
     private void late(Fields transaction) {
         sim.after(2 * World.SECOND + sim.random.nextLong(10 * World.SECOND), () -> {
             expire();
@@ -164,6 +173,8 @@
                 answer.accept(HttpResponse.of(503, Json.error("trouble")));
             } else if (path.equals("/commit") && lateShare > 0 && sim.chance(lateShare)) {
                 late(Json.readObject(request.body()));
+            } else if (path.equals("/commit") && unansweredShare > 0 && sim.chance(unansweredShare)) {
+                commit(Json.readObject(request.body()), response -> unanswered += response.status() == 200 && writes > 0 ? 1 : 0);
             } else if (path.equals("/commit")) {
                 commit(Json.readObject(request.body()), answer);
             } else if (path.equals("/store") && readsFail) {
--- a/src/test/java/madderrudder/sim/SimUsers.java
+++ b/src/test/java/madderrudder/sim/SimUsers.java
@@ -1,5 +1,6 @@
 package madderrudder.sim;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -38,6 +39,12 @@
     private boolean visitors;
     private long pollMicros = POLL_MICROS;
     private int count;
+    private double cancelAtEnd;
+    private long looksUntilMicros;
+    /** Jobs cancelled at the moment at which their last task ended; questions asked close to what users were told; odd requests. */
+    int cancelledAtEnd;
+    int closeLooks;
+    int oddRequests;
 
     SimUsers(Sim sim, SimNet net, Rules rules, Deployment deployment, Map<String, String> nodes,
             int mostTasks) {
@@ -48,6 +55,8 @@
         this.nodes = List.copyOf(nodes.values());
         clock = sim.new Host(1, 0);
         calls = net.callsFrom("users", clock);
+        rules.onEnd = this::ends;
+        rules.onNews = this::lookClosely;
     }
 
     void begin(long everyMicros, long untilMicros) {
@@ -80,11 +89,96 @@
         submitted.stream().filter(job -> !rules.finished(job)).forEach(this::withdraw);
     }
 
-    /** So many of the jobs that have tasks somewhere are cancelled, those that would run on first. */
-    void cancelSome(int most) {
-        submitted.stream().filter(job -> rules.isLive(job) && rules.held().stream().anyMatch(task -> task.job().equals(job)))
-                .sorted(Comparator.comparing(job -> rules.spec(job).kind() != Kind.SERVICE)).limit(most).toList()
-                .forEach(this::withdraw);
+    /** So many of the jobs that have tasks somewhere are cancelled within a fifth of a second, those that would run on first. */
+    List<String> cancelSome(int most) {
+        List<String> cancelled = running(most);
+        cancelled.forEach(job -> clock.after(sim.random.nextLong(200_000), () -> withdraw(job)));
+        return cancelled;
+    }
+
+    /** The same, at once, and through the controller named. */
+    void cancelSomeAt(String node, int most) {
+        running(most).forEach(job -> withdraw(job, "10.0.0." + (1 + Integer.parseInt(node.substring(5))) + ":8080"));
+    }
+
+    void cancel(String job) {
+        withdraw(job);
+    }
+
+    private List<String> running(int most) {
+        return submitted.stream().filter(job -> rules.isLive(job)
+                        && rules.held().stream().anyMatch(task -> task.job().equals(job)))
+                .sorted(Comparator.comparing(job -> rules.spec(job).kind() != Kind.SERVICE)).limit(most).toList();
+    }
+
+    /** Of the jobs that end this share is called off, submitted again and asked about at the moment of the end. */
+    void cancelAtEnd(double share, long forMicros) {
+        cancelAtEnd = share;
+        clock.after(forMicros, () -> cancelAtEnd = 0);
+    }
+
+    private void ends(String job) {
+        if (cancelAtEnd > 0 && sim.chance(cancelAtEnd)) {
+            cancelledAtEnd++;
+            long around = sim.random.nextLong(600_000);
+            clock.after(around, () -> withdraw(job));
+            clock.after(sim.random.nextLong(600_000), () -> submitOnce(job, anyNode()));
+            nodes.forEach(node -> clock.after(around + sim.random.nextLong(30_000), () -> ask(job, node)));
+        }
+    }
+
+    /** Whatever a user is told is asked of every node again within milliseconds, and submitted again; some of it is called off. */
+    void lookClosely(long forMicros) {
+        looksUntilMicros = sim.nowMicros + forMicros;
+    }
+
+    private void lookClosely(String job) {
+        if (sim.nowMicros >= looksUntilMicros) {
+            return;
+        }
+        for (String node : nodes) {
+            for (int look = 0; look < 3; look++) {
+                closeLooks++;
+                clock.after(sim.random.nextLong(40_000), () -> ask(job, node));
+            }
+            clock.after(sim.random.nextLong(40_000), () -> submitOnce(job, node));
+        }
+        if (sim.chance(0.15)) {
+            clock.after(sim.random.nextLong(40_000), () -> withdraw(job));
+        }
+    }
+
+    /**
+     * Users submit again what is not over, call off what is done, and send jobs that fit no machine or lack a field, or have one
+     * that is wrong.
+     */
+    void askOddly(long forMicros) {
+        long untilMicros = sim.nowMicros + forMicros;
+        clock.after(200_000, () -> {
+            String known = submitted.get(sim.random.nextInt(submitted.size()));
+            if (rules.isLive(known)) {
+                submitOnce(known, anyNode());
+            } else if (rules.finished(known)) {
+                withdraw(known);
+            }
+            sendWrong();
+            if (sim.nowMicros < untilMicros) {
+                askOddly(untilMicros - sim.nowMicros);
+            }
+        });
+    }
+
+    private void sendWrong() {
+        oddRequests++;
+        JobSpec job = randomJob();
+        String id = "req-" + (800_000_000 + oddRequests);
+        String good = new String(Json.object(out -> JobCodec.write(out, job)), StandardCharsets.UTF_8).replace(job.id(), id);
+        String bad = WrongJobs.of(good, sim.random);
+        String node = anyNode();
+        calls.call(node, HttpRequest.post("/v1/jobs", bad.getBytes(StandardCharsets.UTF_8)), 5_000_000, response -> {
+            rules.toldOfWrong(bad, response.status());
+            ask(id);
+        });
     }
 
     /** From now on a team without a guarantee has jobs too, and some jobs have a mistake in them. */
@@ -129,8 +223,20 @@
                 kind == Kind.SERVICE, kind != Kind.SERVICE && sim.chance(0.6), 8_000_000, 0, 0, 0);
     }
 
+    private String anyNode() {
+        return nodes.get(sim.random.nextInt(nodes.size()));
+    }
+
     private void call(HttpRequest request, long timeoutMicros, java.util.function.Consumer<HttpResponse> answer) {
-        calls.call(nodes.get(sim.random.nextInt(nodes.size())), request, timeoutMicros, answer);
+        calls.call(anyNode(), request, timeoutMicros, answer);
+    }
+
+    /** Submits again what was submitted before. */
+    private void submitOnce(String job, String node) {
+        byte[] body = Json.object(out -> JobCodec.write(out, rules.spec(job)));
+        long askedMicros = sim.nowMicros;
+        calls.call(node, HttpRequest.post("/v1/jobs", body), 5_000_000,
+                response -> rules.told(job, response.status(), state(response), true, askedMicros));
     }
 
     private void submit(JobSpec job) {
@@ -159,15 +265,23 @@
     }
 
     private void ask(String job) {
+        ask(job, anyNode());
+    }
+
+    private void ask(String job, String node) {
         long askedMicros = sim.nowMicros;
-        call(HttpRequest.get("/v1/jobs/" + job), 2_000_000,
+        calls.call(node, HttpRequest.get("/v1/jobs/" + job), 2_000_000,
                 response -> rules.told(job, response.status(), state(response), false, askedMicros));
     }
 
     private void withdraw(String job) {
+        withdraw(job, anyNode());
+    }
+
+    private void withdraw(String job, String node) {
         rules.asksToCancel(job);
         long askedMicros = sim.nowMicros;
-        call(HttpRequest.post("/v1/jobs/" + job + "/withdraw", new byte[0]), 5_000_000, response -> {
+        calls.call(node, HttpRequest.post("/v1/jobs/" + job + "/withdraw", new byte[0]), 5_000_000, response -> {
             // Before its submission got through, a job is rightly unknown.
             if (response.status() == 200) {
                 rules.told(job, 200, state(response), false, askedMicros);
--- a/src/test/java/madderrudder/sim/SimWorker.java
+++ b/src/test/java/madderrudder/sim/SimWorker.java
@@ -176,6 +176,15 @@
         }
     }
 
+    /** What is left beside all that is active here. */
+    Resources free() {
+        Resources free = capacity;
+        for (Task task : tasks.values()) {
+            free = task.active() ? free.minus(task.takes) : free;
+        }
+        return free;
+    }
+
     /** Hanging, it may not have noticed yet. */
     boolean leaseOver() {
         return gone || clock.nowMicros() - lastAnsweredSentMicros > times.leaseMicros();
@@ -345,14 +354,8 @@
     private void start(String key, TaskId id, long attempt) {
         JobSpec job = rules.spec(id.job());
         Task task = new Task(id, attempt, job.perTask());
-        Resources free = capacity;
-        boolean busy = false;
-        for (Task other : tasks.values()) {
-            if (other.active()) {
-                free = free.minus(other.takes);
-                busy |= other.id.equals(id);
-            }
-        }
+        Resources free = free();
+        boolean busy = tasks.values().stream().anyMatch(other -> other.active() && other.id.equals(id));
         tasks.put(key, task);
         if (busy || !task.takes.fits(free)) {
             task.state = "ended";
--- a/src/test/java/madderrudder/sim/UnlistedTroublesTest.java
+++ b/src/test/java/madderrudder/sim/UnlistedTroublesTest.java
@@ -331,4 +331,29 @@
             assertNotEquals(List.of(), rules.broken);
         }
     }
+
+    /** Once nobody places anything any more, whoever waits has room that is not given to him, and is found; at a team's limit nobody is. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void whoIsLeftWaitingIsFound(boolean room) {
+        World world = new World(3, World.usualWorkers(), World.usualWorkers(), POLICY);
+        world.run(20 * World.SECOND);
+        double cpus = room ? 1 : 11;
+        for (int i = 0; i < 2; i++) {
+            world.users.bring(new JobSpec("req-10000" + i, "sweep", "alto", Kind.ARRAY, Priority.NORMAL, 1, Resources.of(cpus, 0, 1), "img",
+                    1, null, null, false, false, true, 900_000_000, 0, 0, 0));
+        }
+        world.run(60 * World.SECOND);
+        assertEquals(room ? 2 : 1, world.rules.onMachines(), "the limit is 20 processors");
+        if (room) {
+            world.crashAll(1_000 * World.SECOND);
+        }
+        world.run(90 * World.SECOND);
+        world.lookWhoWaits();
+        world.run(200 * World.SECOND);
+        assertEquals(room ? 2 : 0, world.rules.broken.stream().filter(one -> one.startsWith("left_waiting")).count());
+        world.rules.toldOfWrong("a job without a field", 503);
+        world.rules.toldOfWrong("a job without a field", 201);
+        assertEquals(1, world.rules.broken.stream().filter(one -> one.startsWith("accepted_wrong")).count());
+    }
 }
--- a/src/test/java/madderrudder/sim/World.java
+++ b/src/test/java/madderrudder/sim/World.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -44,6 +45,8 @@
     private final Policy policy;
     private final Map<String, String> addresses = new LinkedHashMap<>();
     private final Map<String, Running> running = new LinkedHashMap<>();
+    /** Copies of reports that have come to every controller just as another led, and again once it had acted. */
+    int forNextLeader;
 
     /** A controller process. */
     private record Running(Node node, Sim.Host clock) {
@@ -321,7 +324,7 @@
         String node = names().get(sim.random.nextInt(3));
         List<SimWorker> workers = new ArrayList<>(cloud.workers());
         SimWorker worker = workers.isEmpty() ? null : workers.get(sim.random.nextInt(workers.size()));
-        switch (sim.random.nextInt(32)) {
+        switch (sim.random.nextInt(40)) {
             case 0 -> crash(node, 3 * SECOND);
             case 1 -> names().forEach(name -> crash(name, 2 * SECOND + sim.random.nextLong(SECOND)));
             case 2 -> store.outage(time);
@@ -358,6 +361,14 @@
             case 26 -> store.failReads(time / 2);
             case 27 -> workers.stream().filter(one -> sim.chance(0.3)).forEach(one ->
                     net.cut(leader(), one.id, true, SECOND + sim.random.nextLong(8 * SECOND)));
+            case 28 -> cancelNow(5, time);
+            case 29 -> users.cancelAtEnd(0.6, time);
+            case 30 -> workers.stream().filter(one -> sim.chance(0.3)).forEach(one -> net.mute(one.id, time));
+            case 31 -> users.askOddly(time);
+            case 32 -> users.lookClosely(time);
+            case 33 -> store.loseAnswers(0.3, time);
+            case 34 -> reportsForNextLeader(0.4, time);
+            case 35 -> net.slow(150, time);
             default -> {
                 if (worker != null) {
                     workerTrouble(worker, hold, time);
@@ -366,6 +377,47 @@
         }
     }
 
+    /** Users call off what runs within a fifth of a second, and up to eight of the machines hang for so long. */
+    void cancelNow(int most, long hangMicros) {
+        Set<SimWorker> machines = new LinkedHashSet<>();
+        for (String job : users.cancelSome(most)) {
+            machines.addAll(rules.machinesOf(job));
+        }
+        machines.stream().limit(8).forEach(machine -> machine.hang(hangMicros));
+    }
+
+    /** Of this share of reports a copy is kept, and reaches every controller just as another leads, and again seconds later. */
+    void reportsForNextLeader(double share, long forMicros) {
+        net.keepReports(share, forMicros);
+        deliverToNextLeader(term(), sim.nowMicros + forMicros);
+    }
+
+    private void deliverToNextLeader(long term, long untilMicros) {
+        sim.after(SECOND / 10, () -> {
+            if (term() > term && names().stream().anyMatch(this::leads)) {
+                deliverKept();
+                sim.after(SECOND + sim.random.nextLong(5 * SECOND), () -> {
+                    deliverKept();
+                    net.dropKept();
+                });
+            } else if (sim.nowMicros < untilMicros) {
+                deliverToNextLeader(term, untilMicros);
+            } else {
+                net.dropKept();
+            }
+        });
+    }
+
+    private void deliverKept() {
+        names().forEach(name -> forNextLeader += net.deliverKept(addresses.get(name)));
+    }
+
+    /** From now on it is looked each second who waits though there is room. */
+    void lookWhoWaits() {
+        rules.lookWhoWaits(cloud.workers());
+        sim.after(SECOND, this::lookWhoWaits);
+    }
+
     /** The store refuses the leader alone while users cancel, and then everybody, mostly for longer than the time for cancelling. */
     private void gap() {
         store.refuse(leader(), SECOND + sim.random.nextLong(12 * SECOND));
