Machines that an outage of the store has emptied are kept through it

In an outage that outlasts leases machines stand empty and unheard, since nothing can be placed and reports are not answered; they were returned as idle or as silent, and all was rented and booted anew afterwards.

Change: Rentals.square returns nothing while the hold does not surely last, nor for an idle machine's time after. Ruled out: taking reports in without answering them, which a copy of an old report would look like as well.

The test fails without the mend.

--- a/src/main/java/madderrudder/coordination/dealings/Rentals.java
+++ b/src/main/java/madderrudder/coordination/dealings/Rentals.java
@@ -60,6 +60,8 @@
     private boolean listed;
     private boolean deleting;
     private long nextPollMicros;
+    /** Since when work could be placed, as far as that was interrupted in this term. */
+    private long placingSinceMicros = Long.MIN_VALUE / 2;
 
     Rentals(Term term, Fleet fleet, CloudClient cloud) {
         this.term = term;
@@ -201,6 +203,12 @@
 
     /** Squares log, list and reports: gives back what nobody needs and what does not work, and lets go of what is gone. */
     void square(long nowMicros, Confidence confidence) {
+        // An outage of the store that outlasts leases empties all machines, and has them unheard, since their reports are not
+        // answered. They once went back during it, and those who had waited through it waited for boots and images as well.
+        if (!term.election.entitled()) {
+            placingSinceMicros = nowMicros;
+        }
+        boolean settled = nowMicros - placingSinceMicros > term.policy.idleMicros();
         int up = 0;
         int silent = 0;
         for (Machine machine : term.cluster.machines.values()) {
@@ -214,7 +222,7 @@
             MachineFinding finding = MachineSquaring.of(facts(machine, nowMicros, up <= silent), ownedStillOpen());
             boolean idle = machine.reported && !machine.lapsed && !machine.failed;
             // Idle is what nobody needs, which is known only once the picture is good.
-            if (finding.verdict() == MachineFinding.Verdict.RETURN && (!idle || confidence.suffices())) {
+            if (finding.verdict() == MachineFinding.Verdict.RETURN && settled && (!idle || confidence.suffices())) {
                 // One that an earlier leader has rented may have come up, and died since.
                 if (machine.booting() && !machine.takenOver) {
                     shelves.bootFailed(machine.shelf(), nowMicros);
--- a/src/test/java/madderrudder/sim/SimCloud.java
+++ b/src/test/java/madderrudder/sim/SimCloud.java
@@ -33,6 +33,7 @@
     private final Map<String, List<String>> answered = new HashMap<>();
     private final List<Snapshot> snapshots = new ArrayList<>();
     private int count;
+    private int owned;
     /** Machines that were given back and had never started a task. */
     int unused;
     int calls;
@@ -69,6 +70,7 @@
     }
 
     void begin(int owned) {
+        this.owned = owned;
         for (int i = 0; i < owned; i++) {
             boot(add(i % 2 == 0 ? "small" : "big", deployment.zones().get(i % 2), false));
         }
@@ -90,6 +92,11 @@
         });
     }
 
+    /** There from the start, and never returned. */
+    boolean owned(SimWorker worker) {
+        return worker.id.compareTo(String.format("m-%06d", owned)) < 0;
+    }
+
     /** Machines that there were in all, with those that never came up. */
     int count() {
         return count;
--- a/src/test/java/madderrudder/sim/UnlistedTroublesTest.java
+++ b/src/test/java/madderrudder/sim/UnlistedTroublesTest.java
@@ -332,6 +332,21 @@
         }
     }
 
+    /** An outage that empties the machines does not have them returned: what waits finds them there when it is over. */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 3, 5})
+    void machinesThatAnOutageHasEmptiedAreKept(long seed) {
+        World world = day(seed);
+        List<SimWorker> rented = world.cloud.workers().stream().filter(worker -> !world.cloud.owned(worker)).toList();
+        assertTrue(rented.size() > 1, "only " + rented.size() + " machines are rented");
+        world.store.outage(60 * World.SECOND);
+        world.run(118 * World.SECOND);
+        assertEquals(0, world.rules.onMachines(), "leases last longer than thought");
+        world.run(126 * World.SECOND);
+        assertEquals(List.of(), rented.stream().filter(SimWorker::gone).map(worker -> worker.id).toList());
+        nobodyIsForgotten(world, "an outage, seed " + seed);
+    }
+
     /** Once nobody places anything any more, whoever waits has room that is not given to him, and is found; at a team's limit nobody is. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
