--- a/src/main/java/madderrudder/coordination/decisions/RentalPlanner.java
+++ b/src/main/java/madderrudder/coordination/decisions/RentalPlanner.java
@@ -179,10 +179,6 @@
      * rest of the job in this round: the machines on their way are gone through once for each job.
      */
     private void planJob(Job job) {
-        // A gang goes as a whole: beyond its team's limit nothing rented for a part of it would be used.
-        if (job.spec.kind() == Kind.GANG && !room.teamAllows(job, job.waitingCount())) {
-            return;
-        }
         boolean ownedFits = cluster.ownedCouldFit(job, nowMicros);
         int waiting = job.waitingCount();
         int next = 0;
--- a/src/main/java/madderrudder/coordination/decisions/Room.java
+++ b/src/main/java/madderrudder/coordination/decisions/Room.java
@@ -59,12 +59,7 @@
     }
 
     boolean teamAllows(Job job) {
-        return teamAllows(job, 1);
-    }
-
-    /** Whether the team's limit leaves room for so many more tasks of the job. */
-    boolean teamAllows(Job job, int tasks) {
-        return job.team.allows(usage(job.spec.team()).plus(job.spec.perTask().times(tasks)));
+        return job.team.allows(usage(job.spec.team()).plus(job.spec.perTask()));
     }
 
     boolean zoneAllows(Job job, String zone) {
--- a/src/test/java/madderrudder/sim/MeetingsTest.java
+++ b/src/test/java/madderrudder/sim/MeetingsTest.java
@@ -33,6 +33,7 @@
     private static boolean rulesHold(List<Meeting> meetings, long seed) {
         World world = new World(seed, World.usualWorkers(), World.usualWorkers(), POLICY);
         world.users.visitors();
+        world.users.insist();
         world.users.begin(3_000_000, 120 * SECOND);
         world.run(50 * SECOND);
         String what = meetings + ", seed " + seed;
--- a/src/test/java/madderrudder/sim/RandomDaysTest.java
+++ b/src/test/java/madderrudder/sim/RandomDaysTest.java
@@ -52,6 +52,7 @@
     void rulesHoldWhateverFailsAndEverythingEnds(long seed) {
         World world = day(seed, World.usualWorkers());
         world.users.visitors();
+        world.users.insist();
         troubles(world);
         world.run(QUIET);
         world.users.askAboutAll();
@@ -81,6 +82,7 @@
                 0.1, 0.1, true, true);
         World world = new World(seed, World.usualWorkers(), World.usualWorkers(), policy, World.Size.LARGE);
         world.users.visitors();
+        world.users.insist();
         world.users.begin(2_000_000, 80 * World.SECOND);
         for (int at = 25; at < 80; at += 8) {
             world.sim.after(at * World.SECOND, world::trouble);
