The packaged program's test sends a whole job, and expects 400 for one without a field

The test was wrong by the protocol.

Change: the job has all fields; one more submission without apart has to get 400, and counts.

--- a/src/test/java/madderrudder/cli/PackagedProgramIT.java
+++ b/src/test/java/madderrudder/cli/PackagedProgramIT.java
@@ -120,12 +120,15 @@
             String base = "http://127.0.0.1:" + port;
             awaitHealthy(base);
             String job = "{\"id\":\"req-000001\",\"rig\":\"a\",\"crew\":\"alto\",\"cut\":\"array\",\"rank\":\"standard\","
-                    + "\"strokes\":2,\"cores\":2.0,\"mem_gb\":4.0,\"hull\":\"i\",\"image_gb\":1.0,\"reckon_s\":5.0}";
+                    + "\"strokes\":2,\"cores\":2.0,\"accelerators\":0.0,\"mem_gb\":4.0,\"hull\":\"i\",\"image_gb\":1.0,"
+                    + "\"one_zone\":false,\"apart\":false,\"driftwood\":false,\"reckon_s\":5.0,\"mark_s\":0.0,\"stow_s\":0.0}";
             assertEquals(201, call("POST", base + "/v1/jobs", job).statusCode());
             assertEquals(200, call("POST", base + "/v1/jobs", job).statusCode());
             assertEquals(422, call("POST", base + "/v1/jobs", job.replace("000001", "000002").replace("alto", "solo"))
                     .statusCode());
             assertEquals(400, call("POST", base + "/v1/jobs", "[]").statusCode());
+            assertEquals(400, call("POST", base + "/v1/jobs", job.replace("000001", "000004").replace("\"apart\":false,", ""))
+                    .statusCode());
             assertEquals(400, call("POST", base + "/v1/jobs", "x".repeat(70_000)).statusCode());
             assertEquals(404, call("GET", base + "/v1/jobs/req-000009", "").statusCode());
             assertEquals(404, call("GET", base + "/nowhere", "").statusCode());
@@ -133,7 +136,7 @@
             assertTrue(call("GET", base + "/v1/jobs/req-000001", "").body().contains("\"pending\""));
             String metrics = call("GET", base + "/metrics", "").body();
             assertTrue(metrics.contains("\"member\":\"n-0\"")
-                    && metrics.contains("\"submission\":{\"count\":4,"), metrics);
+                    && metrics.contains("\"submission\":{\"count\":5,"), metrics);
             assertTrue(call("POST", base + "/v1/jobs/req-000001/withdraw", "").body().contains("\"aborted\""));
             assertTrue(call("GET", base + "/v1/jobs/req-000001", "").body().contains("\"aborted\""));
             assertEquals(201, call("POST", base + "/v1/jobs", job.replace("000001", "000003").replace("\"strokes\":2",
