--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,7 +51,7 @@
             # 16 machines in kuopio, every second one a spot machine, and ten in tampere-b.
             await cluster.add_worker("m-%06d" % (n + 1), "kantele16",
                                      "kuopio" if n < 16 else "tampere-b", n < 16 and n % 2 == 1,
-                                     16.0, 64.0, 0.8, 40.0, images=["img-preview"])
+                                     16.0, 64.0, 0.8, (40.0, 40.0), images=["img-preview"])
         workers = list(cluster.workers.values())
         kuopio = [w for w in workers if w.zone == "kuopio"]
         await cluster.wait_for("all machines report to the leader",
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -474,7 +474,8 @@
     def __init__(self, cluster, machine, build, zone, spot, cpus, mem_gb, fetch_gb_per_s, run_s,
                  images=()):
         self.cluster, self.id, self.build, self.zone, self.spot = cluster, machine, build, zone, spot
-        self.cpus, self.mem_gb, self.fetch, self.run_s = cpus, mem_gb, fetch_gb_per_s, run_s
+        self.cpus, self.mem_gb, self.fetch = cpus, mem_gb, fetch_gb_per_s
+        self.run_s = run_s        # the shortest and the longest time that a task runs
         self.record, self.rules = cluster.record, cluster.rules
         self.times = cluster.settings["workers"]
         self.random = random.Random(machine)
@@ -488,10 +489,11 @@
         self.cut_off = set()      # nodes that this machine can't reach, nor they it
         self.mute = False         # it can't open connections, but can be reached
         self.stopped = False
-        self.due = self.last_sent = 0.0
+        self.due = self.last_sent = self.not_before = 0.0
         self.wake = asyncio.Event()
         self.answered_by = None
         self.last_report = {}
+        self.refused = 0          # reports that were answered with 400
 
     async def start(self):
         self.http = await HttpServer(self.handle).start()
@@ -518,7 +520,7 @@
 
     def change(self):
         """A change: the next report comes early, but half a second after the last at least."""
-        self.due = min(self.due, max(time.monotonic(), self.last_sent + 0.5))
+        self.due = min(self.due, max(time.monotonic(), self.last_sent + 0.5, self.not_before))
         self.wake.set()
 
     async def send_report(self):
@@ -542,6 +544,7 @@
             return
         self.record("%s -> %s knot %d %s: %d %s" %
                     (self.id, node, report["knot"], tasks_text(report), status, short(answer)))
+        self.refused += status == 400
         if status == 200:
             self.answered_by = node
             if watch == self.watch and answer.get("helm", -1) >= self.helm:
@@ -563,7 +566,7 @@
 
     def next_node(self):
         self.connect_to((self.node + 1) % len(self.cluster.names))
-        self.due = time.monotonic() + 1.0
+        self.due = self.not_before = time.monotonic() + 1.0
 
     def cut(self, nodes):
         """This machine and the nodes can't reach each other: their connections are reset."""
@@ -665,7 +668,7 @@
         task.timer = None
         if job["cut"] != "service":
             task.timer = asyncio.get_running_loop().call_later(
-                self.run_s, self.end, task, "done")
+                self.random.uniform(*self.run_s), self.end, task, "done")
 
     def end(self, task, why):
         if task.state == "ended":
