Log and count which response answers which forwarded heartbeat

Change: at level debug the forwarding controller logs machine and request number of each heartbeat that it forwards and of each response, and the leader logs both for what it answers. Responses that no heartbeat waits for are counted (forwarded_responses_ignored).

--- a/src/main/java/madderrudder/service/HeartbeatEndpoint.java
+++ b/src/main/java/madderrudder/service/HeartbeatEndpoint.java
@@ -120,10 +120,14 @@
     lastResponderKnownMicros = scheduler.nowMicros();
   }
 
-  /** Writes the numbers of heartbeats answered as a delegate and forwarded since the start. */
+  /**
+   * Writes the numbers of heartbeats answered as a delegate and forwarded, and of the responses to
+   * forwarded heartbeats that were ignored, since the start.
+   */
   void writeCounters(JsonGenerator out) throws IOException {
     out.writeNumberField("reports_stood_in", delegatedResponses);
     out.writeNumberField("reports_passed_on", forwarder.forwardedCount());
+    out.writeNumberField("forwarded_responses_ignored", forwarder.unexpectedResponses());
   }
 
   /** Starts the periodic dispatch of pending heartbeats. */
@@ -276,6 +280,7 @@
     }
     forwarder.forward(
         leader,
+        received.heartbeat().machine(),
         received.body(),
         new HeartbeatForwarder.Callback() {
           @Override
@@ -300,7 +305,8 @@
       return;
     }
     if (localLeader.isLeading()) {
-      localLeader.handle(heartbeat, response -> forwarder.respond(forwarded, response));
+      localLeader.handle(
+          heartbeat, response -> forwarder.respond(forwarded, heartbeat.machine(), response));
     }
   }
 
--- a/src/main/java/madderrudder/service/HeartbeatForwarder.java
+++ b/src/main/java/madderrudder/service/HeartbeatForwarder.java
@@ -9,12 +9,16 @@
 import madderrudder.protocol.PeerMessageCodec;
 import madderrudder.transport.PeerMessenger;
 import madderrudder.transport.Scheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Forwards heartbeats to the leader for workers that can't reach it, and, on the leader, returns
  * the responses to the controllers that forwarded them. Confined to the event loop thread.
  */
 final class HeartbeatForwarder {
+  private static final Logger LOG = LoggerFactory.getLogger(HeartbeatForwarder.class);
+
   /** Less than the 4 s that a worker waits, so that it gets a response after a timeout too. */
   private static final long RESPONSE_TIMEOUT_MICROS = 1_500_000;
 
@@ -23,6 +27,7 @@
   private final String member;
   private final Map<Long, Callback> inFlight = new HashMap<>();
   private long forwardedCount;
+  private long unexpectedResponses;
 
   /** Receives the outcome of a forwarded heartbeat: exactly one method is called, once. */
   interface Callback {
@@ -45,14 +50,25 @@
     return forwardedCount;
   }
 
+  /** The number of responses that arrived when no heartbeat waited for them. */
+  long unexpectedResponses() {
+    return unexpectedResponses;
+  }
+
   /** Whether the encoded heartbeat fits into a message between controllers. */
   static boolean canForward(byte[] body) {
     return PeerMessageCodec.canForward(body.length);
   }
 
-  /** Forwards a heartbeat to the leader, in the encoding that the worker sent. */
-  void forward(String leader, byte[] body, Callback callback) {
+  /**
+   * Forwards a heartbeat to the leader.
+   *
+   * @param machine the machine that sent the heartbeat
+   * @param body the heartbeat in the encoding that the worker sent
+   */
+  void forward(String leader, String machine, byte[] body, Callback callback) {
     long requestNumber = ++forwardedCount;
+    LOG.debug("forwarding a heartbeat of {} to {} as request {}", machine, leader, requestNumber);
     inFlight.put(requestNumber, callback);
     String text = new String(body, StandardCharsets.UTF_8);
     peerMessenger.send(
@@ -69,21 +85,32 @@
   /** Handles the leader's response; one that arrives after the timeout is ignored. */
   void receive(ForwardedResponse response) {
     Callback callback = inFlight.remove(response.number());
-    if (callback != null) {
-      callback.onResponse(
-          Optional.of(response.responseBody())
-              .filter(text -> !text.isEmpty())
-              .map(text -> text.getBytes(StandardCharsets.UTF_8)));
+    if (callback == null) {
+      unexpectedResponses++;
+      LOG.debug("ignored the response to request {}, which is not in flight", response.number());
+      return;
     }
+    LOG.debug("received the response to request {}", response.number());
+    callback.onResponse(
+        Optional.of(response.responseBody())
+            .filter(text -> !text.isEmpty())
+            .map(text -> text.getBytes(StandardCharsets.UTF_8)));
   }
 
   /**
    * Sends this leader's response to the controller that forwarded the heartbeat. A response that
    * does not fit into a message is not sent. An empty response means that the heartbeat must not be
    * answered, neither by this leader nor by a delegate.
+   *
+   * @param machine the machine that sent the heartbeat
    */
-  void respond(ForwardedHeartbeat forwardedHeartbeat, Optional<byte[]> response) {
+  void respond(ForwardedHeartbeat forwardedHeartbeat, String machine, Optional<byte[]> response) {
     byte[] body = response.orElse(new byte[0]);
+    LOG.debug(
+        "responding to request {} of {}, a heartbeat of {}",
+        forwardedHeartbeat.number(),
+        forwardedHeartbeat.member(),
+        machine);
     if (PeerMessageCodec.canForward(body.length)) {
       String text = new String(body, StandardCharsets.UTF_8);
       ForwardedResponse forwardedResponse =
