Ignore the answer to a heartbeat that an earlier process forwarded

After a restart of a controller that forwards heartbeats, workers ran tasks that the leader had placed on other machines (ran_twice, and wrong_place on spot machines).

Cause: a forwarded heartbeat was identified by a number that each process counted from 1, and the leader's response repeats just that number. Responses to heartbeats of the earlier process, held on their way, were given to whichever workers waited in the new process under the same numbers.

Change: the request id is the incarnation of the process, 64 random bits, plus the count (ProcessScopedIds), so that the new process has issued no id of the earlier one. A response to an id that it has not issued is ignored, logged once at level info and counted (forwarded_responses_for_other_processes). It works because the leader returns the 8 bytes as they are: the response names the process that asked. The encoding is unchanged, so builds before and after it understand each other. A new message with the incarnation as a field of its own was weighed: an earlier build refuses unknown types and longer messages, so that forwarding would stop while both builds run.

SimNetwork can hold one direction of a link.

--- a/src/main/java/madderrudder/protocol/PeerMessage.java
+++ b/src/main/java/madderrudder/protocol/PeerMessage.java
@@ -104,17 +104,18 @@
    * A heartbeat that a controller forwards to the leader because the worker can't reach the leader.
    *
    * @param member the name of the forwarding controller
-   * @param number the number that the forwarding controller assigns; the response repeats it
+   * @param requestId identifies the request among those of all processes that have had the name of
+   *     the forwarding controller; the response repeats it
    * @param heartbeatBody the body of the heartbeat as the worker sent it
    */
-  record ForwardedHeartbeat(String member, long number, String heartbeatBody)
+  record ForwardedHeartbeat(String member, long requestId, String heartbeatBody)
       implements PeerMessage {}
 
   /**
    * The leader's response to a forwarded heartbeat.
    *
-   * @param number the number of the forwarded heartbeat
+   * @param requestId the id of the forwarded heartbeat
    * @param responseBody the body of the response to the worker
    */
-  record ForwardedResponse(long number, String responseBody) implements PeerMessage {}
+  record ForwardedResponse(long requestId, String responseBody) implements PeerMessage {}
 }
--- a/src/main/java/madderrudder/protocol/PeerMessageCodec.java
+++ b/src/main/java/madderrudder/protocol/PeerMessageCodec.java
@@ -229,7 +229,7 @@
 
   private static void writeForwardedHeartbeat(ByteBuffer out, ForwardedHeartbeat heartbeat) {
     writeText(out, heartbeat.member());
-    out.putLong(heartbeat.number());
+    out.putLong(heartbeat.requestId());
     writeText(out, heartbeat.heartbeatBody());
   }
 
@@ -238,7 +238,7 @@
   }
 
   private static void writeForwardedResponse(ByteBuffer out, ForwardedResponse response) {
-    out.putLong(response.number());
+    out.putLong(response.requestId());
     writeText(out, response.responseBody());
   }
 
--- a/src/main/java/madderrudder/service/ControllerNode.java
+++ b/src/main/java/madderrudder/service/ControllerNode.java
@@ -90,14 +90,15 @@
             settings.memberName(),
             policy.leaseMicros(),
             new TermListener());
+    long incarnation = random.nextLong();
     delegate =
         new HeartbeatDelegate(
-            scheduler,
-            SafetyBounds.of(deployment.workers()),
-            settings.memberName(),
-            random.nextLong());
+            scheduler, SafetyBounds.of(deployment.workers()), settings.memberName(), incarnation);
     localLeader = new LocalLeader(createLeaderDependencies(httpCaller, cloud));
-    heartbeatEndpoint = createHeartbeatEndpoint(peerMessenger, random);
+    heartbeatEndpoint =
+        createHeartbeatEndpoint(
+            new HeartbeatForwarder(scheduler, peerMessenger, settings.memberName(), incarnation),
+            random);
     peerStatusExchange = createPeerStatusExchange(peerMessenger);
     requestRouter = createRequestRouter();
   }
@@ -148,7 +149,7 @@
   }
 
   private HeartbeatEndpoint createHeartbeatEndpoint(
-      PeerMessenger peerMessenger, RandomGenerator random) {
+      HeartbeatForwarder forwarder, RandomGenerator random) {
     return new HeartbeatEndpoint(
         new HeartbeatEndpoint.Dependencies(
             scheduler,
@@ -156,7 +157,7 @@
             localLeader,
             delegate,
             new WorkerRedirects(random, settings.maxSockets()),
-            new HeartbeatForwarder(scheduler, peerMessenger, settings.memberName()),
+            forwarder,
             settings.memberName(),
             store::isResponsive),
         policy.delegationEnabled(),
--- a/src/main/java/madderrudder/service/HeartbeatEndpoint.java
+++ b/src/main/java/madderrudder/service/HeartbeatEndpoint.java
@@ -120,14 +120,10 @@
     lastResponderKnownMicros = scheduler.nowMicros();
   }
 
-  /**
-   * Writes the numbers of heartbeats answered as a delegate and forwarded, and of the responses to
-   * forwarded heartbeats that were ignored, since the start.
-   */
+  /** Writes the number of heartbeats answered as a delegate, and the forwarder's counters. */
   void writeCounters(JsonGenerator out) throws IOException {
     out.writeNumberField("reports_stood_in", delegatedResponses);
-    out.writeNumberField("reports_passed_on", forwarder.forwardedCount());
-    out.writeNumberField("forwarded_responses_ignored", forwarder.unexpectedResponses());
+    forwarder.writeCounters(out);
   }
 
   /** Starts the periodic dispatch of pending heartbeats. */
--- a/src/test/java/madderrudder/sim/SimNetwork.java
+++ b/src/test/java/madderrudder/sim/SimNetwork.java
@@ -26,7 +26,10 @@
   private final double lossRate;
   private final Map<String, Endpoint> endpoints = new HashMap<>();
 
-  /** Partitions in force, by link name for two hosts and by zone name for a zone. */
+  /**
+   * Partitions in force, by link name for two hosts, by direction for one direction between them,
+   * and by zone name for a zone.
+   */
   private final Map<String, Partition> partitions = new HashMap<>();
 
   /** The zone of each host. The store, the cloud and the users are regional and have no zone. */
@@ -88,6 +91,10 @@
     return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
   }
 
+  private static String directionName(String from, String to) {
+    return from + ">" + to;
+  }
+
   void setZone(String host, String zone) {
     zones.put(host, zone);
   }
@@ -96,6 +103,19 @@
     partition(linkName(a, b), buffered, durationMicros);
   }
 
+  /**
+   * Buffers all messages from one host to the other until {@link #release}. Messages in the
+   * opposite direction are not affected.
+   */
+  void hold(String from, String to) {
+    partitions.putIfAbsent(directionName(from, to), new Partition(true));
+  }
+
+  /** Delivers the messages that {@link #hold} has buffered, in their order. */
+  void release(String from, String to) {
+    endPartition(directionName(from, to));
+  }
+
   /**
    * Partitions a zone from all hosts outside it. Hosts in the zone, also those added later, still
    * reach each other.
@@ -187,21 +207,25 @@
   private void partition(String key, boolean buffered, long durationMicros) {
     Partition partition = new Partition(buffered);
     if (partitions.putIfAbsent(key, partition) == null) {
-      scheduler.after(
-          durationMicros,
-          () -> {
-            partitions.remove(key);
-            partition.messages.forEach(message -> scheduler.after(LATENCY_MICROS, message));
-          });
+      scheduler.after(durationMicros, () -> endPartition(key));
     }
   }
 
+  /** Ends the partition, and delivers the messages that it has buffered in their order. */
+  private void endPartition(String key) {
+    Partition ended = partitions.remove(key);
+    ended.messages.forEach(message -> scheduler.after(LATENCY_MICROS, message));
+  }
+
   /**
-   * The partition that separates the hosts, or null: one of their link first, then one of the zone
-   * of either.
+   * The partition that separates the hosts, or null: one of the direction first, then one of their
+   * link, then one of the zone of either.
    */
   private Partition partitionBetween(String from, String to) {
-    Partition partition = partitions.get(linkName(from, to));
+    Partition partition = partitions.get(directionName(from, to));
+    if (partition == null) {
+      partition = partitions.get(linkName(from, to));
+    }
     String fromZone = zones.get(from);
     String toZone = zones.get(to);
     if (partition != null || Objects.equals(fromZone, toZone)) {
