history export: tell the run numbers of different leaders apart

Seen: nothing; found by reading, while listing the numbers that a process counts from its start.

Cause: each leader numbers the ended runs from 1. HistoryClient compares the term of each answer with that of the one before, but the number that one call prints for the next came without its term.

--- a/src/main/java/madderrudder/replay/HistoryClient.java
+++ b/src/main/java/madderrudder/replay/HistoryClient.java
@@ -18,14 +18,17 @@
  * threads.
  */
 public final class HistoryClient {
+  /** The term to give when it is not known under which leader a run number was counted. */
+  public static final long UNKNOWN_TERM = -1;
+
   /** Limits each connection attempt and each request. */
   private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(5);
 
   private final HttpClient client = HttpClient.newBuilder().connectTimeout(REQUEST_TIMEOUT).build();
   private final List<URI> controllers;
 
-  /** The term of the leader that answered last, or -1 before the first answer. */
-  private long leaderTerm = -1;
+  /** The term of the leader that counted {@link #lastRunNumber}, or {@link #UNKNOWN_TERM}. */
+  private long leaderTerm;
 
   private long lastRunNumber;
   private long missedRuns;
@@ -34,10 +37,14 @@
    * Creates a client that has collected nothing.
    *
    * @param controllers the base addresses of the controllers' HTTP interface for users
-   * @param after the number of the current leader's last run that was collected earlier, or 0
+   * @param term the term of the leader that counted {@code after}. If another leader answers, the
+   *     collection starts at its first run. With {@link #UNKNOWN_TERM}, the current leader is
+   *     assumed to have counted it
+   * @param after the number of the last run that was collected earlier, or 0
    */
-  public HistoryClient(List<URI> controllers, long after) {
+  public HistoryClient(List<URI> controllers, long term, long after) {
     this.controllers = controllers;
+    leaderTerm = term;
     lastRunNumber = after;
   }
 
@@ -54,7 +61,7 @@
   public int collect(HistoryReader.RunConsumer consumer) throws IOException, InterruptedException {
     try {
       JsonFields response = requestRuns(lastRunNumber);
-      if (leaderTerm >= 0 && response.count("term") != leaderTerm) {
+      if (leaderTerm != UNKNOWN_TERM && response.count("term") != leaderTerm) {
         lastRunNumber = 0;
         response = requestRuns(0);
       }
@@ -105,9 +112,14 @@
 
   /**
    * Returns the number of the last collected run, from which another client can continue the
-   * collection.
+   * collection. Each leader counts its runs from 1, so the number goes with {@link #leaderTerm}.
    */
   public long lastRunNumber() {
     return lastRunNumber;
   }
+
+  /** Returns the term of the leader that answered last; the given term before the first answer. */
+  public long leaderTerm() {
+    return leaderTerm;
+  }
 }
--- a/src/main/java/madderrudder/tools/HistoryCommand.java
+++ b/src/main/java/madderrudder/tools/HistoryCommand.java
@@ -50,6 +50,13 @@
               paramLabel = "N",
               description = "Skip the runs up to number N of the current leader.")
           long after,
+      @Option(
+              names = "--term",
+              defaultValue = "" + HistoryClient.UNKNOWN_TERM,
+              paramLabel = "TERM",
+              description =
+                  "Apply --after only to the leader of this term, and skip nothing of another one.")
+          long term,
       @Option(
               names = "--follow",
               paramLabel = "SECONDS",
@@ -57,7 +64,7 @@
               description = "Repeat the export at this interval until interrupted; 0 exports once.")
           int followSeconds)
       throws IOException, InterruptedException {
-    HistoryClient client = new HistoryClient(controllers, after);
+    HistoryClient client = new HistoryClient(controllers, term, after);
     PrintStream err = System.err;
     try (Writer out = output.open()) {
       HistoryWriter writer = new HistoryWriter(out, output.format(), false);
@@ -71,7 +78,9 @@
               + " runs written, "
               + client.missedRuns()
               + " dropped by leaders before they were collected; continue with --after "
-              + client.lastRunNumber());
+              + client.lastRunNumber()
+              + " --term "
+              + client.leaderTerm());
     }
     return 0;
   }
--- a/src/test/java/madderrudder/replay/HistoryClientTest.java
+++ b/src/test/java/madderrudder/replay/HistoryClientTest.java
@@ -86,7 +86,11 @@
   }
 
   private HistoryClient client(long after) {
-    return new HistoryClient(List.of(address(follower), address(leader)), after);
+    return client(HistoryClient.UNKNOWN_TERM, after);
+  }
+
+  private HistoryClient client(long term, long after) {
+    return new HistoryClient(List.of(address(follower), address(leader)), term, after);
   }
 
   private static URI address(HttpServer server) {
@@ -122,6 +126,29 @@
     assertEquals(5, client.lastRunNumber());
   }
 
+  /** The number was counted by an earlier leader: none of the new leader's runs was collected. */
+  @Test
+  void anotherClientContinuesWithAllRunsOfANewLeader() throws Exception {
+    HistoryClient earlier = client(0);
+    collectAll(earlier);
+    runs.clear();
+    leaderHistory = history(42, 900);
+    HistoryClient later = client(earlier.leaderTerm(), earlier.lastRunNumber());
+    collectAll(later);
+    assertEquals(900, runs.size());
+    assertEquals(42, later.leaderTerm());
+  }
+
+  @Test
+  void anotherClientContinuesAfterTheLastRunOfTheSameLeader() throws Exception {
+    HistoryClient earlier = client(0);
+    collectAll(earlier);
+    runs.clear();
+    leaderHistory = history(41, 900);
+    collectAll(client(earlier.leaderTerm(), earlier.lastRunNumber()));
+    assertEquals(200, runs.size());
+  }
+
   @Test
   void countsRunsThatTheLeaderDroppedBeforeTheyWereCollected() throws Exception {
     HistoryClient client = client(100);
@@ -135,7 +162,8 @@
 
   @Test
   void failsWithTheErrorOfEachControllerWhenNoneLeads() {
-    HistoryClient unreachable = new HistoryClient(List.of(URI.create("http://127.0.0.1:1")), 0);
+    HistoryClient unreachable =
+        new HistoryClient(List.of(URI.create("http://127.0.0.1:1")), HistoryClient.UNKNOWN_TERM, 0);
     IOException failure = assertThrows(IOException.class, () -> collect(unreachable));
     assertTrue(
         failure.getMessage().startsWith("no controller answers as the leader: http://127.0.0.1:1"),
