Count amounts in billionths, to the safe side

Seen: an array of tasks of 1/32 CPU ran 2,322 tasks at once, 72.5625 CPUs with a limit of 72 (quota); a job of 16.0004 CPUs for machines of 16 was accepted and never ran.

Cause: Resources kept thousandths, rounded to the nearest, so 0.03125 counted as 0.031 in admission, placement, quota and stored records.

Change: amounts are billionths. What a task takes is rounded up, what a machine or a team has is rounded down, from the decimal digits as written (JsonFields.decimal; Json keeps the digits that a double loses). Amounts beyond 10^9 fit nowhere, and products are limited instead of overflowing. A limit above 0 that would round down to 0, which stands for no limit, is refused with the settings. Stored: job records as before, a decimal number. Placements keep their thousandths, rounded up, which earlier builds read, and have billionths beside them where needed; a placement of a known job takes at least what the job says, since an earlier build may have rounded it.

Existing tests construct the same amounts by ofThousandths and of; their bounds are as they were.

--- a/src/main/java/madderrudder/config/DeploymentReader.java
+++ b/src/main/java/madderrudder/config/DeploymentReader.java
@@ -1,5 +1,6 @@
 package madderrudder.config;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -84,8 +85,22 @@
   }
 
   private Resources readResources(String path, JsonFields team, String cpus, String gpus) {
-    return problems.readOrDefault(
-        path, Resources.NONE, () -> Resources.of(team.amount(cpus, 0), team.amount(gpus, 0), 0));
+    BigDecimal cpuAmount = readAmount(path, team, cpus);
+    BigDecimal gpuAmount = readAmount(path, team, gpus);
+    return Resources.available(cpuAmount, gpuAmount, BigDecimal.ZERO);
+  }
+
+  /**
+   * Reads an amount of a team; 0 if it is missing or invalid. An amount above 0 that rounds down to
+   * 0 is invalid, since 0 stands for no bound.
+   */
+  private BigDecimal readAmount(String path, JsonFields team, String name) {
+    BigDecimal amount =
+        problems.readOrDefault(path, BigDecimal.ZERO, () -> team.decimal(name, BigDecimal.ZERO));
+    if (amount.signum() > 0 && amount.compareTo(Resources.SMALLEST) < 0) {
+      problems.add(path + "." + name, "must be 0 or at least 1e-9, not " + amount);
+    }
+    return amount;
   }
 
   private Deployment.WorkerTimes readWorkerTimes(JsonFields workers) {
--- a/src/main/java/madderrudder/coordination/policy/TeamQuota.java
+++ b/src/main/java/madderrudder/coordination/policy/TeamQuota.java
@@ -19,16 +19,16 @@
    * job of such a deployment.
    */
   public static TeamQuota of(String name, Resources guaranteed, Resources limit) {
-    boolean hasGuarantee = guaranteed.milliCpus() > 0 || guaranteed.milliGpus() > 0;
+    boolean hasGuarantee = guaranteed.nanoCpus() > 0 || guaranteed.nanoGpus() > 0;
     return new TeamQuota(
         name, hasGuarantee ? zeroAsUnbounded(guaranteed) : Resources.NONE, zeroAsUnbounded(limit));
   }
 
   private static Resources zeroAsUnbounded(Resources bound) {
     return new Resources(
-        bound.milliCpus() == 0 ? UNBOUNDED : bound.milliCpus(),
-        bound.milliGpus() == 0 ? UNBOUNDED : bound.milliGpus(),
-        bound.memoryMb());
+        bound.nanoCpus() == 0 ? UNBOUNDED : bound.nanoCpus(),
+        bound.nanoGpus() == 0 ? UNBOUNDED : bound.nanoGpus(),
+        bound.nanoMemoryGb());
   }
 
   /** Whether the team stays within its limit if its tasks use this total. */
@@ -42,6 +42,6 @@
   }
 
   private static boolean isWithin(Resources total, Resources bound) {
-    return total.milliCpus() <= bound.milliCpus() && total.milliGpus() <= bound.milliGpus();
+    return total.nanoCpus() <= bound.nanoCpus() && total.nanoGpus() <= bound.nanoGpus();
   }
 }
--- a/src/main/java/madderrudder/coordination/registry/MachineRegistry.java
+++ b/src/main/java/madderrudder/coordination/registry/MachineRegistry.java
@@ -160,7 +160,7 @@
             entry.attempt(),
             term.cluster.machines.get(entry.machine()),
             entry.usage().team(),
-            entry.usage().resources(),
+            restoredResources(entry, job),
             job,
             true,
             term.scheduler.nowMicros());
@@ -177,6 +177,15 @@
     }
   }
 
+  /**
+   * The resources of an attempt. An earlier version stored them rounded to thousandths, so those of
+   * the job count if they are larger.
+   */
+  private static Resources restoredResources(LogSegment.Placement entry, Job job) {
+    Resources stored = entry.usage().resources();
+    return job == null ? stored : Resources.max(stored, job.spec.resourcesPerTask());
+  }
+
   private void restoreImage(LogSegment.CachedImage image) {
     Machine machine = term.cluster.machines.get(image.machine());
     if (machine != null) {
--- a/src/main/java/madderrudder/coordination/scheduling/NonSpotHeadroom.java
+++ b/src/main/java/madderrudder/coordination/scheduling/NonSpotHeadroom.java
@@ -14,33 +14,33 @@
 final class NonSpotHeadroom {
   private NonSpotHeadroom() {}
 
-  /** Returns the missing headroom, in thousandths of a processor; 0 or less if none is missing. */
-  static long shortfallMilliCpus(PlanningRound round) {
+  /** Returns the missing headroom, in billionths of a processor; 0 or less if none is missing. */
+  static long shortfallNanoCpus(PlanningRound round) {
     Cluster cluster = round.cluster();
     if (!cluster.scaleOutTooSlow() || !round.demand().promptNeedsNonSpot()) {
       return 0;
     }
-    long totalMilliCpus = 0;
-    long nonSpotMilliCpus = 0;
+    long totalNanoCpus = 0;
+    long nonSpotNanoCpus = 0;
     for (Machine machine : cluster.machines.values()) {
       if (machine.retiring || machine.leaseExpired || machine.failed) {
         continue;
       }
-      totalMilliCpus += machine.type.capacity().milliCpus();
+      totalNanoCpus += machine.type.capacity().nanoCpus();
       if (!machine.spot) {
-        nonSpotMilliCpus += machine.type.capacity().milliCpus() - productionMilliCpus(machine);
+        nonSpotNanoCpus += machine.type.capacity().nanoCpus() - productionNanoCpus(machine);
       }
     }
-    return (long) (round.policy().headroom() * totalMilliCpus) - nonSpotMilliCpus;
+    return (long) (round.policy().headroom() * totalNanoCpus) - nonSpotNanoCpus;
   }
 
-  private static long productionMilliCpus(Machine machine) {
-    long milliCpus = 0;
+  private static long productionNanoCpus(Machine machine) {
+    long nanoCpus = 0;
     for (Assignment assignment : machine.assignments.values()) {
       if (assignment.job != null && assignment.job.spec.priority() == Priority.PRODUCTION) {
-        milliCpus += assignment.resources.milliCpus();
+        nanoCpus += assignment.resources.nanoCpus();
       }
     }
-    return milliCpus;
+    return nanoCpus;
   }
 }
--- a/src/main/java/madderrudder/coordination/scheduling/Placer.java
+++ b/src/main/java/madderrudder/coordination/scheduling/Placer.java
@@ -61,8 +61,8 @@
   /** Usable machines on which capacity is about to become free. */
   private final List<Machine> freeingMachines = new ArrayList<>();
 
-  private final long headroomMilliCpus;
-  private long freeMilliCpus;
+  private final long headroomNanoCpus;
+  private long freeNanoCpus;
   private RoundUsage usage;
 
   /** A machine on which the next task of a job fits, and the cost of placing it there. */
@@ -81,18 +81,18 @@
     Resources minTaskResources = round.demand().minTaskResources();
     boolean gangIsWaiting =
         round.demand().waiting().stream().anyMatch(job -> job.spec.kind() == JobKind.GANG);
-    long totalMilliCpus = 0;
+    long totalNanoCpus = 0;
     for (Machine machine : cluster.machines.values()) {
       if (round.usable(machine)) {
-        totalMilliCpus += machine.type.capacity().milliCpus();
-        freeMilliCpus += machine.free().milliCpus();
+        totalNanoCpus += machine.type.capacity().nanoCpus();
+        freeNanoCpus += machine.free().nanoCpus();
         if (machine.reclaimMicros < 0) {
           addUsableMachine(machine, minTaskResources, gangIsWaiting);
         }
       }
     }
-    headroomMilliCpus =
-        cluster.scaleOutTooSlow() ? (long) (totalMilliCpus * round.policy().headroom()) : 0;
+    headroomNanoCpus =
+        cluster.scaleOutTooSlow() ? (long) (totalNanoCpus * round.policy().headroom()) : 0;
   }
 
   private void addUsableMachine(
@@ -171,7 +171,7 @@
     return Priority.HIGH.isHigherThan(job.spec.priority())
         && !round.guaranteed(job)
         && nowMicros - job.waitingSinceMicros(task) < MAX_HEADROOM_WITHHELD_MICROS
-        && freeMilliCpus - job.spec.resourcesPerTask().milliCpus() < headroomMilliCpus;
+        && freeNanoCpus - job.spec.resourcesPerTask().nanoCpus() < headroomNanoCpus;
   }
 
   /**
@@ -190,7 +190,7 @@
       return;
     }
     RoundUsage usageBefore = usage.copy();
-    long freeMilliCpusBefore = freeMilliCpus;
+    long freeNanoCpusBefore = freeNanoCpus;
     int placementCountBefore = placements.size();
     boolean fitsOwned = round.ownedCouldFit(job);
     for (int task = job.nextWaiting(0); task >= 0; task = job.nextWaiting(task + 1)) {
@@ -199,7 +199,7 @@
         List<Placement> partialPlacements =
             placements.subList(placementCountBefore, placements.size());
         usage = usageBefore;
-        freeMilliCpus = freeMilliCpusBefore;
+        freeNanoCpus = freeNanoCpusBefore;
         if (taskAllowed) {
           reserveForGang(job, partialPlacements);
         }
@@ -274,7 +274,7 @@
         continue;
       }
       usage.addTask(job, machine);
-      freeMilliCpus -= job.spec.resourcesPerTask().milliCpus();
+      freeNanoCpus -= job.spec.resourcesPerTask().nanoCpus();
       placements.add(new Placement(job, task, machine));
       if (fits(job, machine) && !machine.atTaskLimit(usage.addedTasks(job, machine))) {
         candidates.add(new Candidate(machine, cost(job, machine)));
@@ -294,8 +294,8 @@
     if (!machine.hasImage(spec.image())) {
       cost += spec.imageGb() / machine.type.fetchGbPerSecond();
     }
-    long milliCpusLeft = usage.free(machine).milliCpus() - spec.resourcesPerTask().milliCpus();
-    cost += (double) milliCpusLeft / Math.max(1, machine.type.capacity().milliCpus());
+    long nanoCpusLeft = usage.free(machine).nanoCpus() - spec.resourcesPerTask().nanoCpus();
+    cost += (double) nanoCpusLeft / Math.max(1, machine.type.capacity().nanoCpus());
     if (spec.spotAllowed() && !machine.spot) {
       cost += NON_SPOT_MACHINE_COST_S;
     }
--- a/src/main/java/madderrudder/coordination/scheduling/ScaleOutSelection.java
+++ b/src/main/java/madderrudder/coordination/scheduling/ScaleOutSelection.java
@@ -35,7 +35,7 @@
   private final Map<CapacityPool, Integer> machineCountByPool = new HashMap<>();
   private final Map<RequestKey, ScaleOutRequest> requests = new LinkedHashMap<>();
   private int budgetLeft;
-  private long nonSpotShortfallMilliCpus;
+  private long nonSpotShortfallNanoCpus;
 
   private record RequestKey(CapacityPool pool, boolean countsAgainstBudget) {}
 
@@ -48,7 +48,7 @@
     this.usage = usage;
     this.budgetLeft = budgetLeft;
     this.requestLimit = requestLimit;
-    nonSpotShortfallMilliCpus = NonSpotHeadroom.shortfallMilliCpus(round);
+    nonSpotShortfallNanoCpus = NonSpotHeadroom.shortfallNanoCpus(round);
   }
 
   /** Counts existing machines of the pool. */
@@ -59,14 +59,14 @@
   /** Counts an earlier request whose outcome is not known yet. */
   void addPending(ScaleOutRequest request) {
     if (!request.spot()) {
-      nonSpotShortfallMilliCpus -= request.count() * request.type().capacity().milliCpus();
+      nonSpotShortfallNanoCpus -= request.count() * request.type().capacity().nanoCpus();
     }
     addExisting(request.capacityPool(), request.count());
   }
 
   /** Whether there is too little headroom on non-spot machines; see {@link NonSpotHeadroom}. */
   boolean lacksNonSpotHeadroom() {
-    return nonSpotShortfallMilliCpus > 0;
+    return nonSpotShortfallNanoCpus > 0;
   }
 
   /**
@@ -97,7 +97,7 @@
     }
     addExisting(best.capacityPool(), 1);
     if (!best.spot() && job.spec.priority() != Priority.PRODUCTION) {
-      nonSpotShortfallMilliCpus -= best.type().capacity().milliCpus();
+      nonSpotShortfallNanoCpus -= best.type().capacity().nanoCpus();
     }
     if (countsAgainstBudget) {
       budgetLeft--;
--- a/src/main/java/madderrudder/coordination/scheduling/VictimSelection.java
+++ b/src/main/java/madderrudder/coordination/scheduling/VictimSelection.java
@@ -161,6 +161,8 @@
     long checkpointIntervalMicros = assignment.job.spec.checkpointIntervalMicros();
     long sinceCheckpointMicros =
         checkpointIntervalMicros > 0 ? Math.min(ranMicros, checkpointIntervalMicros) : ranMicros;
-    return (sinceCheckpointMicros / 1e6 + 1) * assignment.resources.milliCpus() / 1000;
+    return (sinceCheckpointMicros / 1e6 + 1)
+        * assignment.resources.nanoCpus()
+        / Resources.NANOS_PER_UNIT;
   }
 }
--- a/src/main/java/madderrudder/coordination/state/ClusterSummary.java
+++ b/src/main/java/madderrudder/coordination/state/ClusterSummary.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.StringJoiner;
 import java.util.TreeMap;
+import madderrudder.protocol.Resources;
 
 /**
  * Counts the machines of one type and kind, which is owned, spot or on-demand, for the log and for
@@ -12,8 +13,8 @@
   private int machines;
   private int booting;
   private int empty;
-  private long usedMilliCpus;
-  private long milliCpus;
+  private long usedNanoCpus;
+  private long nanoCpus;
 
   private ClusterSummary() {}
 
@@ -46,8 +47,8 @@
       return;
     }
     empty += machine.empty() ? 1 : 0;
-    usedMilliCpus += machine.used.milliCpus();
-    milliCpus += machine.type.capacity().milliCpus();
+    usedNanoCpus += machine.used.nanoCpus();
+    nanoCpus += machine.type.capacity().nanoCpus();
   }
 
   @Override
@@ -58,8 +59,8 @@
         + " booting, "
         + empty
         + " empty) "
-        + usedMilliCpus / 1000
+        + usedNanoCpus / Resources.NANOS_PER_UNIT
         + "/"
-        + milliCpus / 1000;
+        + nanoCpus / Resources.NANOS_PER_UNIT;
   }
 }
--- a/src/main/java/madderrudder/estimates/TaskProfile.java
+++ b/src/main/java/madderrudder/estimates/TaskProfile.java
@@ -28,16 +28,17 @@
   }
 
   /**
-   * The bit lengths of the requested resources, packed into one number. In tasks of the same
-   * bucket, the amounts of each resource differ by a factor of less than 2.
+   * The bit lengths of the requested resources in thousandths, packed into one number. In tasks of
+   * the same bucket, the amounts of each resource differ by a factor of less than 2.
    */
   private int sizeBucket() {
-    return (bitLength(resources.milliCpus()) << (2 * BITS_PER_RESOURCE))
-        | (bitLength(resources.milliGpus()) << BITS_PER_RESOURCE)
-        | bitLength(resources.memoryMb());
+    return (thousandthsBitLength(resources.nanoCpus()) << (2 * BITS_PER_RESOURCE))
+        | (thousandthsBitLength(resources.nanoGpus()) << BITS_PER_RESOURCE)
+        | thousandthsBitLength(resources.nanoMemoryGb());
   }
 
-  private static int bitLength(long amount) {
-    return Long.SIZE - Long.numberOfLeadingZeros(Math.max(0, amount));
+  private static int thousandthsBitLength(long nanos) {
+    long thousandths = Resources.toThousandths(Math.max(0, nanos));
+    return Long.SIZE - Long.numberOfLeadingZeros(thousandths);
   }
 }
--- a/src/main/java/madderrudder/metrics/RunHistoryCodec.java
+++ b/src/main/java/madderrudder/metrics/RunHistoryCodec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.util.List;
 import madderrudder.estimates.TaskProfile;
 import madderrudder.estimates.TaskRun;
@@ -59,9 +60,9 @@
     out.writeStringField("class", profile.jobClass());
     out.writeStringField("team", profile.team());
     out.writeStringField("image", profile.image());
-    out.writeNumberField("cpus", profile.resources().milliCpus() / 1e3);
-    out.writeNumberField("gpus", profile.resources().milliGpus() / 1e3);
-    out.writeNumberField("memory_gb", profile.resources().memoryMb() / 1e3);
+    out.writeNumberField("cpus", profile.resources().cpus());
+    out.writeNumberField("gpus", profile.resources().gpus());
+    out.writeNumberField("memory_gb", profile.resources().memoryGb());
     out.writeStringField("type", run.machineType());
     out.writeStringField("machine", run.machine());
     out.writeNumberField("guess_s", run.ownerEstimateMicros() / 1e6);
@@ -83,8 +84,10 @@
             in.text("class"),
             in.text("team", ""),
             in.text("image", ""),
-            new Resources(
-                thousandths(in, "cpus"), thousandths(in, "gpus"), thousandths(in, "memory_gb")));
+            Resources.required(
+                in.decimal("cpus", BigDecimal.ZERO),
+                in.decimal("gpus", BigDecimal.ZERO),
+                in.decimal("memory_gb", BigDecimal.ZERO)));
     boolean complete = readComplete(in);
     TaskRun run =
         new TaskRun(
@@ -110,9 +113,4 @@
               "field end is neither " + COMPLETE + " nor " + PARTIAL);
     };
   }
-
-  /** Reads a decimal in whole thousandths, the unit of {@link Resources}; 0 if it is absent. */
-  private static long thousandths(JsonFields in, String name) throws MalformedMessageException {
-    return Math.round(1e3 * in.amount(name, 0));
-  }
 }
--- a/src/main/java/madderrudder/persistence/LogSegment.java
+++ b/src/main/java/madderrudder/persistence/LogSegment.java
@@ -124,9 +124,7 @@
     List<Placement> placements = new ArrayList<>();
     for (JsonFields group : in.objects("placed")) {
       String job = group.text("j");
-      Usage usage =
-          new Usage(
-              group.text("w"), new Resources(group.count("c"), group.count("g"), group.count("m")));
+      Usage usage = new Usage(group.text("w"), readResources(group));
       for (String item : group.texts("of")) {
         String[] fields = item.split(" ", 3);
         placements.add(
@@ -140,6 +138,17 @@
     return placements;
   }
 
+  /**
+   * Reads the resources of each attempt of a group: in billionths if the group has them, else in
+   * thousandths, which earlier versions wrote alone.
+   */
+  private static Resources readResources(JsonFields group) throws MalformedMessageException {
+    if (group.has("nc")) {
+      return new Resources(group.count("nc"), group.count("ng"), group.count("nm"));
+    }
+    return Resources.ofThousandths(group.count("c"), group.count("g"), group.count("m"));
+  }
+
   private static List<EndedAttempt> readEndedAttempts(JsonFields in)
       throws MalformedMessageException {
     List<EndedAttempt> endedAttempts = new ArrayList<>();
--- a/src/main/java/madderrudder/persistence/LogSegmentBuilder.java
+++ b/src/main/java/madderrudder/persistence/LogSegmentBuilder.java
@@ -13,6 +13,7 @@
 import madderrudder.persistence.LogSegment.Placement;
 import madderrudder.persistence.LogSegment.Usage;
 import madderrudder.protocol.Json;
+import madderrudder.protocol.Resources;
 
 /**
  * Collects the entries of a {@link LogSegment} up to a size limit and encodes them. An upper bound
@@ -26,6 +27,9 @@
   /** Upper bound of the size of a group without its names; numbers have up to 20 digits. */
   private static final int GROUP_OVERHEAD_BYTES = 128;
 
+  /** Upper bound of the size of an amount in billionths, which some placement groups have. */
+  private static final int BILLIONTHS_BYTES = 76;
+
   /** The size of an item without its text: two quotes and a comma. */
   private static final int ITEM_OVERHEAD_BYTES = 3;
 
@@ -79,10 +83,13 @@
   /** Adds an attempt that may be on a machine; returns false if it does not fit. */
   public boolean add(Placement placement) {
     String job = placement.task().job();
+    Usage usage = placement.usage();
     return addToGroup(
         placements,
-        new JobGroup(job, placement.usage()),
-        encodedBytes(job) + encodedBytes(placement.usage().team()),
+        new JobGroup(job, usage),
+        encodedBytes(job)
+            + encodedBytes(usage.team())
+            + (usage.resources().isInThousandths() ? 0 : BILLIONTHS_BYTES),
         placement.task().index() + " " + placement.attempt() + " " + placement.machine());
   }
 
@@ -176,9 +183,22 @@
   private static void writeJobGroup(JsonGenerator out, JobGroup job) throws IOException {
     out.writeStringField("j", job.job());
     out.writeStringField("w", job.usage().team());
-    out.writeNumberField("c", job.usage().resources().milliCpus());
-    out.writeNumberField("g", job.usage().resources().milliGpus());
-    out.writeNumberField("m", job.usage().resources().memoryMb());
+    writeResources(out, job.usage().resources());
+  }
+
+  /**
+   * Writes an amount in thousandths, rounded up, as earlier versions read it, and in billionths if
+   * it has more digits.
+   */
+  private static void writeResources(JsonGenerator out, Resources resources) throws IOException {
+    out.writeNumberField("c", Resources.toThousandths(resources.nanoCpus()));
+    out.writeNumberField("g", Resources.toThousandths(resources.nanoGpus()));
+    out.writeNumberField("m", Resources.toThousandths(resources.nanoMemoryGb()));
+    if (!resources.isInThousandths()) {
+      out.writeNumberField("nc", resources.nanoCpus());
+      out.writeNumberField("ng", resources.nanoGpus());
+      out.writeNumberField("nm", resources.nanoMemoryGb());
+    }
   }
 
   private static void writeImage(JsonGenerator out, ImageGroup image) throws IOException {
--- a/src/main/java/madderrudder/protocol/CloudCodec.java
+++ b/src/main/java/madderrudder/protocol/CloudCodec.java
@@ -1,5 +1,6 @@
 package madderrudder.protocol;
 
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -67,10 +68,10 @@
   private static MachineType readType(JsonFields in) throws MalformedMessageException {
     return new MachineType(
         in.text(CloudFields.TYPE_NAME),
-        Resources.of(
-            in.amount(CloudFields.CPUS),
-            in.amount(CloudFields.GPUS, 0),
-            in.amount(CloudFields.MEMORY_GB)),
+        Resources.available(
+            in.decimal(CloudFields.CPUS),
+            in.decimal(CloudFields.GPUS, BigDecimal.ZERO),
+            in.decimal(CloudFields.MEMORY_GB)),
         in.amount(CloudFields.IMAGE_CACHE_GB, 0),
         in.amount(CloudFields.FETCH_GB_PER_SECOND, 1),
         in.amount(CloudFields.PRICE),
--- a/src/main/java/madderrudder/protocol/JobCodec.java
+++ b/src/main/java/madderrudder/protocol/JobCodec.java
@@ -102,9 +102,11 @@
 
   private static Resources readResources(JsonFields in) throws MalformedMessageException {
     Resources resourcesPerTask =
-        Resources.of(
-            in.amount(JobFields.CPUS), in.amount(JobFields.GPUS), in.amount(JobFields.MEMORY_GB));
-    if (resourcesPerTask.milliCpus() == 0 && resourcesPerTask.milliGpus() == 0) {
+        Resources.required(
+            in.decimal(JobFields.CPUS),
+            in.decimal(JobFields.GPUS),
+            in.decimal(JobFields.MEMORY_GB));
+    if (resourcesPerTask.nanoCpus() == 0 && resourcesPerTask.nanoGpus() == 0) {
       throw MalformedMessageException.ofField(
           JobFields.CPUS, "is out of range", in.amount(JobFields.CPUS));
     }
@@ -139,9 +141,9 @@
     out.writeStringField(JobFields.KIND, KINDS.nameOf(job.kind()));
     out.writeStringField(JobFields.PRIORITY, PRIORITIES.nameOf(job.priority()));
     out.writeNumberField(JobFields.TASK_COUNT, job.tasks());
-    out.writeNumberField(JobFields.CPUS, job.resourcesPerTask().milliCpus() / 1000.0);
-    out.writeNumberField(JobFields.GPUS, job.resourcesPerTask().milliGpus() / 1000.0);
-    out.writeNumberField(JobFields.MEMORY_GB, job.resourcesPerTask().memoryMb() / 1000.0);
+    out.writeNumberField(JobFields.CPUS, job.resourcesPerTask().cpus());
+    out.writeNumberField(JobFields.GPUS, job.resourcesPerTask().gpus());
+    out.writeNumberField(JobFields.MEMORY_GB, job.resourcesPerTask().memoryGb());
     out.writeStringField(JobFields.IMAGE, job.image());
     out.writeNumberField(JobFields.IMAGE_GB, job.imageGb());
     writePlacement(out, job);
--- a/src/main/java/madderrudder/protocol/JobFields.java
+++ b/src/main/java/madderrudder/protocol/JobFields.java
@@ -23,13 +23,13 @@
   /** The number of tasks: {@link JobSpec#tasks()}. */
   static final String TASK_COUNT = "strokes";
 
-  /** The number of CPUs that one task needs: {@link Resources#milliCpus()} of a task. */
+  /** The number of CPUs that one task needs: {@link Resources#cpus()} of a task. */
   static final String CPUS = "cores";
 
-  /** The number of GPUs that one task needs: {@link Resources#milliGpus()} of a task. */
+  /** The number of GPUs that one task needs: {@link Resources#gpus()} of a task. */
   static final String GPUS = "accelerators";
 
-  /** The memory in GB that one task needs: {@link Resources#memoryMb()} of a task. */
+  /** The memory in GB that one task needs: {@link Resources#memoryGb()} of a task. */
   static final String MEMORY_GB = "mem_gb";
 
   /** The container image: {@link JobSpec#image()}. */
--- a/src/main/java/madderrudder/protocol/Json.java
+++ b/src/main/java/madderrudder/protocol/Json.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.math.BigDecimal;
 import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -145,12 +146,17 @@
     return in.getLongValue();
   }
 
+  /** Reads a decimal number as a double if its text stands for the same number, else exactly. */
   private static Object readDecimal(JsonParser in) throws IOException {
     double number = in.getDoubleValue();
     if (Double.isInfinite(number)) {
       return new OutOfRangeNumber(in.getText());
     }
-    return number;
+    if (number == 0) {
+      return number;
+    }
+    BigDecimal exact = in.getDecimalValue();
+    return exact.compareTo(BigDecimal.valueOf(number)) == 0 ? (Object) number : exact;
   }
 
   /** Writes a value of one of the types that {@link #readValue} returns. */
@@ -163,6 +169,8 @@
       out.writeNumber(number);
     } else if (value instanceof BigInteger number) {
       out.writeNumber(number);
+    } else if (value instanceof BigDecimal number) {
+      out.writeNumber(number);
     } else if (value instanceof Double number) {
       out.writeNumber(number);
     } else if (value instanceof OutOfRangeNumber number) {
--- a/src/main/java/madderrudder/protocol/JsonFields.java
+++ b/src/main/java/madderrudder/protocol/JsonFields.java
@@ -1,5 +1,6 @@
 package madderrudder.protocol;
 
+import java.math.BigDecimal;
 import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.List;
@@ -96,6 +97,21 @@
     return has(name) ? amount(name) : defaultValue;
   }
 
+  /** Returns a decimal field from 0 to 10^15 with all its digits. */
+  public BigDecimal decimal(String name) throws MalformedMessageException {
+    double rounded = amount(name);
+    Object value = fields.get(name);
+    if (value instanceof BigDecimal exact) {
+      return exact;
+    }
+    return value instanceof Long whole ? BigDecimal.valueOf(whole) : BigDecimal.valueOf(rounded);
+  }
+
+  /** Returns a decimal field from 0 to 10^15 with all its digits, or the default. */
+  public BigDecimal decimal(String name, BigDecimal defaultValue) throws MalformedMessageException {
+    return has(name) ? decimal(name) : defaultValue;
+  }
+
   /** Converts the value to a double; NaN if it is not a number or is beyond a double's range. */
   private static double toDouble(Object value) {
     if (value instanceof Long whole) {
@@ -104,6 +120,9 @@
     if (value instanceof Double decimal) {
       return decimal;
     }
+    if (value instanceof BigDecimal exact) {
+      return exact.doubleValue();
+    }
     if (value instanceof BigInteger big) {
       return big.doubleValue();
     }
--- a/src/main/java/madderrudder/replay/HistoryGenerator.java
+++ b/src/main/java/madderrudder/replay/HistoryGenerator.java
@@ -38,7 +38,7 @@
   private static final double HEAVY_TAIL_INDEX = 1.5;
   private static final double MEDIAN_RUN_SECONDS = 60;
   private static final long MIN_DURATION_MICROS = 1_000;
-  private static final Resources TASK_RESOURCES = new Resources(4_000, 0, 8_000);
+  private static final Resources TASK_RESOURCES = Resources.of(4, 0, 8);
 
   private static final List<Shape> SHAPES = List.of(Shape.values());
 
--- a/src/main/java/madderrudder/tools/EstimateCommand.java
+++ b/src/main/java/madderrudder/tools/EstimateCommand.java
@@ -35,7 +35,6 @@
     description = "Estimate the run time of a task from histories, with a prediction interval.")
 final class EstimateCommand implements Runnable {
   private static final double MICROS_PER_SECOND = 1e6;
-  private static final double THOUSANDTHS_PER_UNIT = 1e3;
   private static final String PROGRESS_UNIT = "runs read";
 
   @Spec private CommandSpec spec;
@@ -146,12 +145,16 @@
     require(jobClass != null, "missing option --class");
     require(coverage > 0 && coverage < 1, "--share must be between 0 and 1, both excluded");
     boolean timesValid = ownerEstimateSeconds >= 0 && elapsedSeconds >= 0;
-    boolean resourcesValid = cpus >= 0 && gpus >= 0 && memoryGb >= 0;
+    boolean resourcesValid = isAmount(cpus) && isAmount(gpus) && isAmount(memoryGb);
     require(
         timesValid && resourcesValid,
         "--cpus, --gpus, --memory-gb, --guess and --ran must be at least 0");
   }
 
+  private static boolean isAmount(double value) {
+    return value >= 0 && Double.isFinite(value);
+  }
+
   private Estimator learnFromHistory() {
     ProgressPrinter progress = new ProgressPrinter(System.err, PROGRESS_UNIT);
     try {
@@ -163,11 +166,7 @@
   }
 
   private EstimateQuery query() {
-    Resources resources =
-        new Resources(
-            Math.round(THOUSANDTHS_PER_UNIT * cpus),
-            Math.round(THOUSANDTHS_PER_UNIT * gpus),
-            Math.round(THOUSANDTHS_PER_UNIT * memoryGb));
+    Resources resources = Resources.of(cpus, gpus, memoryGb);
     return new EstimateQuery(
         new TaskProfile("", jobClass, team, image, resources),
         Math.round(MICROS_PER_SECOND * ownerEstimateSeconds),
--- a/src/test/java/madderrudder/config/SettingsTest.java
+++ b/src/test/java/madderrudder/config/SettingsTest.java
@@ -92,6 +92,9 @@
     "127.0.0.1:8443, cloud:8443, external.cloud: \"cloud:8443\"",
     "127.0.0.1:8082, nowhere, members[0].peer_addr: \"nowhere\"",
     "report_s\":2.0, report_s\":0, 'deployment.workers.report_s: must be above 0, not 0.0'",
+    "cpus_max\":72.0, cpus_max\":1e-12, "
+        + "'deployment.teams[0].cpus_max: must be 0 or at least 1e-9, not 1.0E-12'",
+    "cpus_max\":72.0, cpus_max\":-1, 'deployment.teams[0]: field cpus_max is missing or invalid'",
     "txn_ops\":48, txn_ops\":7, 'deployment.state.txn_ops: must be at least 8, not 7'",
     "value_kb\":16.0, value_kb\":2.5, 'deployment.state.value_kb: must be at least 4, not 2.5'"
   })
--- a/src/test/java/madderrudder/coordination/scheduling/PlanningCostTest.java
+++ b/src/test/java/madderrudder/coordination/scheduling/PlanningCostTest.java
@@ -13,6 +13,7 @@
 import madderrudder.coordination.state.Machine;
 import madderrudder.protocol.JobKind;
 import madderrudder.protocol.Priority;
+import madderrudder.protocol.Resources;
 import madderrudder.protocol.TaskId;
 import org.junit.jupiter.api.Test;
 
@@ -79,9 +80,9 @@
       large.addAssignment(assignment);
       placed.add(assignment);
     }
-    assertEquals(3_000, large.usage().get("alto").milliCpus());
+    assertEquals(3 * Resources.NANOS_PER_UNIT, large.usage().get("alto").nanoCpus());
     placed.forEach(assignment -> large.release(assignment, SECOND));
-    assertEquals(0, large.usage().get("alto").milliCpus());
+    assertEquals(0, large.usage().get("alto").nanoCpus());
     assertEquals(0, large.checks);
   }
 
--- a/src/test/java/madderrudder/estimates/TaskRunFixture.java
+++ b/src/test/java/madderrudder/estimates/TaskRunFixture.java
@@ -13,7 +13,7 @@
   private TaskRunFixture() {}
 
   static TaskProfile profile(String job, String jobClass) {
-    return new TaskProfile(job, jobClass, "alto", "img", new Resources(4_000, 0, 8_000));
+    return new TaskProfile(job, jobClass, "alto", "img", Resources.of(4, 0, 8));
   }
 
   /** A complete run of the only task of a new job; times are in seconds. */
--- a/src/test/java/madderrudder/persistence/LogSegmentTest.java
+++ b/src/test/java/madderrudder/persistence/LogSegmentTest.java
@@ -38,7 +38,7 @@
       String machine = String.format("m-%06d", i);
       TaskId task = new TaskId("req-" + random.nextInt(5), (int) i);
       Resources resources =
-          new Resources(random.nextLong(1L << 40), 8_000, random.nextLong(1L << 40));
+          Resources.ofThousandths(random.nextLong(1L << 40), 8_000, random.nextLong(1L << 40));
       LogSegment.MachineEntry entry =
           new LogSegment.MachineEntry(
               machine,
--- a/src/test/java/madderrudder/persistence/RecordPropertiesTest.java
+++ b/src/test/java/madderrudder/persistence/RecordPropertiesTest.java
@@ -78,8 +78,8 @@
     Arbitrary<Usage> usage =
         Combinators.combine(names(), numbers, numbers, numbers)
             .as(
-                (team, milliCpus, milliGpus, memoryMb) ->
-                    new Usage(team, new Resources(milliCpus, milliGpus, memoryMb)));
+                (team, nanoCpus, nanoGpus, nanoMemoryGb) ->
+                    new Usage(team, new Resources(nanoCpus, nanoGpus, nanoMemoryGb)));
     Arbitrary<Record> placement =
         Combinators.combine(tasks(), numbers, usage, machines()).as(Placement::new);
     Arbitrary<Record> endedAttempt =
--- a/src/test/java/madderrudder/persistence/StoredFormTest.java
+++ b/src/test/java/madderrudder/persistence/StoredFormTest.java
@@ -43,7 +43,7 @@
       new LogSegment.Placement(
           new TaskId("job-1", 3),
           2,
-          new LogSegment.Usage("team-a", new Resources(1000, 0, 2048)),
+          new LogSegment.Usage("team-a", Resources.ofThousandths(1000, 0, 2048)),
           "m1");
   private static final LogSegment.EndedAttempt ENDED_ATTEMPT =
       new LogSegment.EndedAttempt(new TaskId("job-1", 1), 1, "m1");
@@ -115,6 +115,30 @@
     assertEquals(1, budget.remaining(2_000_000));
   }
 
+  /** Earlier versions wrote thousandths alone; the job may have been written by them too. */
+  @Test
+  void placementInThousandthsCountsAsBefore() throws MalformedMessageException {
+    LogSegment segment = LogSegment.read(Json.readObject(bytes(SEGMENT)));
+    assertEquals(
+        new Resources(1_000_000_000, 0, 2_048_000_000),
+        segment.placements().get(0).usage().resources());
+  }
+
+  /** An earlier version reads the thousandths, which are rounded up, and ignores the billionths. */
+  @Test
+  void placementWithMoreDigitsHasThousandthsForEarlierVersions() throws MalformedMessageException {
+    Resources resources = Resources.of(0.03125, 0, 0.3333);
+    LogSegmentBuilder builder = new LogSegmentBuilder(10_000);
+    LogSegment.Placement placement =
+        new LogSegment.Placement(
+            new TaskId("job-1", 3), 2, new LogSegment.Usage("team-a", resources), "m1");
+    assertTrue(builder.add(placement));
+    String stored = text(builder.encode(9));
+    assertTrue(stored.contains("\"c\":32,\"g\":0,\"m\":334,"), stored);
+    LogSegment read = LogSegment.read(Json.readObject(bytes(stored)));
+    assertEquals(List.of(placement), read.placements());
+  }
+
   @Test
   void logSegmentEncodesToStoredForm() {
     LogSegmentBuilder builder = new LogSegmentBuilder(10_000);
--- a/src/test/java/madderrudder/protocol/JobCodecTest.java
+++ b/src/test/java/madderrudder/protocol/JobCodecTest.java
@@ -35,7 +35,7 @@
     JobSpec job = job(JOB);
     assertEquals(JobKind.GANG, job.kind());
     assertEquals(Priority.HIGH, job.priority());
-    assertEquals(new Resources(8000, 1000, 64000), job.resourcesPerTask());
+    assertEquals(Resources.ofThousandths(8000, 1000, 64000), job.resourcesPerTask());
     assertEquals(240_000_000, job.estimateMicros());
   }
 
@@ -156,6 +156,40 @@
     assertEquals(Optional.of("v".repeat(80) + "..."), exception.value());
   }
 
+  /** What a task takes must not be counted lower than its user wrote it. */
+  @ParameterizedTest
+  @CsvSource({
+    "0.03125, 31250000",
+    "0.3333, 333300000",
+    "16.0004, 16000400000",
+    "0.30000000000000004, 300000001",
+    "0.1000000000000000000000000000000000001, 100000001",
+    "0.0000000001, 1",
+    "1e-300, 1",
+    "1E+3, 1000000000000",
+    "1e14, 2000000000000000000"
+  })
+  void countsTaskAmountsInBillionthsRoundedUp(String written, long nanoCpus)
+      throws MalformedMessageException {
+    assertEquals(nanoCpus, job(JOB.replace("8.0", written)).resourcesPerTask().nanoCpus());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"0.03125", "0.3333", "123456789.123456789", "0.000000001"})
+  void writtenAmountRoundTrips(String written) throws MalformedMessageException {
+    JobSpec job = job(JOB.replace("8.0", written).replace("64.0", written));
+    assertEquals(job, JobCodec.read(Json.readObject(Json.object(out -> JobCodec.write(out, job)))));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"-0.1", "-1e-30", "1e16", "1e999", "'8'", "0"})
+  void refusesUnusableAmountAndNamesIt(String written) {
+    String text = JOB.replace("8.0", written).replace("'accelerators':1.0", "'accelerators':0");
+    MalformedMessageException exception =
+        assertThrows(MalformedMessageException.class, () -> job(text));
+    assertEquals(Optional.of("cores"), exception.field());
+  }
+
   @Test
   void fractionalResourcesAddUpExactly() throws MalformedMessageException {
     JobSpec job = job(JOB.replace("8.0", "0.1").replace("64.0", "0.7"));
--- a/src/test/java/madderrudder/replay/HistoryFilesTest.java
+++ b/src/test/java/madderrudder/replay/HistoryFilesTest.java
@@ -52,7 +52,8 @@
   void readsNamesWithCommasQuotesAndLineBreaksAsWritten(HistoryWriter.Format format)
       throws IOException {
     TaskProfile profile =
-        new TaskProfile("a,b", "say \"x\"", "team\nof two", "7", new Resources(1_500, 250, 1));
+        new TaskProfile(
+            "a,b", "say \"x\"", "team\nof two", "7", Resources.ofThousandths(1_500, 250, 1));
     EndedRun ended =
         new EndedRun(
             1_790_000_000_123_456L, new TaskRun(profile, 2, 9, "", "m;1", 0, 1_250_000, false));
--- a/src/test/java/madderrudder/sim/InvariantChecker.java
+++ b/src/test/java/madderrudder/sim/InvariantChecker.java
@@ -522,7 +522,7 @@
           if (name.startsWith("class ")) {
             List<JobSpec> bySize = new ArrayList<>(jobs);
             bySize.sort(
-                Comparator.comparingLong(job -> -job.resourcesPerTask().milliCpus() * job.tasks()));
+                Comparator.comparingLong(job -> -job.resourcesPerTask().nanoCpus() * job.tasks()));
             checkHalfServed(
                 "largest of " + name,
                 bySize.subList(0, Math.min(jobs.size(), Math.max(3, jobs.size() / 10))),
--- a/src/test/java/madderrudder/sim/RandomFaultsTest.java
+++ b/src/test/java/madderrudder/sim/RandomFaultsTest.java
@@ -42,6 +42,7 @@
   void randomFaultsKeepInvariantsAndEveryJobEnds(long seed) {
     SimulatedCluster cluster = Scenarios.smallCluster(seed);
     cluster.users.enableGuestAndFailingJobs();
+    cluster.users.enableFractionalAmounts();
     cluster.users.retryUnknownCancellations();
     Scenarios.injectRandomFaults(cluster);
     cluster.runUntil(FAULTS_OVER_MICROS);
@@ -80,6 +81,7 @@
         new SimulatedCluster(
             seed, SimPolicies.largeCluster(600, true), SimulatedCluster.Size.LARGE);
     cluster.users.enableGuestAndFailingJobs();
+    cluster.users.enableFractionalAmounts();
     cluster.users.retryUnknownCancellations();
     cluster.users.submitRandomJobs(2_000_000, 80 * SECOND);
     RandomFaults faults = new RandomFaults(cluster);
--- a/src/test/java/madderrudder/sim/SimCloud.java
+++ b/src/test/java/madderrudder/sim/SimCloud.java
@@ -295,12 +295,12 @@
             Resources capacity = CAPACITY_BY_TYPE.get(type);
             out.writeStartObject();
             out.writeStringField("label", type);
-            out.writeNumberField("cores", capacity.milliCpus() / 1000.0);
-            out.writeNumberField("mem_gb", capacity.memoryMb() / 1000.0);
+            out.writeNumberField("cores", capacity.cpus());
+            out.writeNumberField("mem_gb", capacity.memoryGb());
             out.writeNumberField("local_gb", 30.0);
             out.writeNumberField("fetch_gb_per_s", 0.5);
-            out.writeNumberField("price", capacity.milliCpus() / 10_000.0);
-            out.writeNumberField("spot_price", capacity.milliCpus() / 30_000.0);
+            out.writeNumberField("price", capacity.cpus().doubleValue() / 10);
+            out.writeNumberField("spot_price", capacity.cpus().doubleValue() / 30);
             out.writeNumberField("startup_s", 8.0);
             out.writeArrayFieldStart("berths");
             for (String zone : deployment.zones()) {
--- a/src/test/java/madderrudder/sim/SimUsers.java
+++ b/src/test/java/madderrudder/sim/SimUsers.java
@@ -31,6 +31,12 @@
   private static final List<Priority> BATCH_PRIORITIES =
       List.of(Priority.HIGH, Priority.NORMAL, Priority.LOW);
 
+  /** One in so many jobs takes a fraction of a CPU; see {@link #enableFractionalAmounts}. */
+  private static final int JOBS_PER_FRACTIONAL_JOB = 4;
+
+  /** Fractions of a CPU that are no whole thousandths. */
+  private static final double[] FRACTIONS = {0.0004, 0.03125, 0.3333, 0.7654321};
+
   /** The team without guaranteed quota. */
   static final String GUEST_TEAM = "duende";
 
@@ -52,6 +58,7 @@
   final List<String> submitted = new ArrayList<>();
 
   private boolean guestAndFailingJobsEnabled;
+  private boolean fractionalAmountsEnabled;
   private boolean retriesUnknownCancellations;
   private long pollIntervalMicros = POLL_INTERVAL_MICROS;
   private int jobCount;
@@ -256,6 +263,11 @@
     guestAndFailingJobsEnabled = true;
   }
 
+  /** From now on, tasks of some jobs take amounts with more digits than thousandths. */
+  void enableFractionalAmounts() {
+    fractionalAmountsEnabled = true;
+  }
+
   /**
    * From now on, users retry a cancellation until it is confirmed, even if the answer is that the
    * job is unknown.
@@ -300,6 +312,11 @@
             : BATCH_PRIORITIES.get(scheduler.random.nextInt(BATCH_PRIORITIES.size()));
     // A task of a gang takes all CPUs of a small machine.
     double cpus = kind == JobKind.GANG ? 4 : 1 + scheduler.random.nextInt(4);
+    if (fractionalAmountsEnabled
+        && kind != JobKind.GANG
+        && jobCount % JOBS_PER_FRACTIONAL_JOB == 0) {
+      cpus += FRACTIONS[jobCount / JOBS_PER_FRACTIONAL_JOB % FRACTIONS.length] - 1;
+    }
     return new JobSpec(
         String.format("req-%06d", jobCount++),
         JOB_CLASSES.get(kind),
