Take the changes of a watch in the order of their revisions

Cause: the changes of a watch were taken in the order in which the response lists them. A deletion that was listed before the submission of its job was ignored as that of an unknown job, and then the job was added. The protocol defines no order.

Change: StoreCodec.readEvents, which reads the responses of both watches, sorts the changes by revision, so that the last change of a key determines its state. Related path: the watch on the leader's key left a follower without a known leader if the next leader's claim was listed before the end of the last one's lease; the same change mends it. Range reads list keys, not changes.

--- a/src/main/java/madderrudder/protocol/StoreCodec.java
+++ b/src/main/java/madderrudder/protocol/StoreCodec.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 /** Encodes requests to the store and decodes its responses. */
@@ -20,7 +21,8 @@
   /**
    * A page of a range of keys, or a batch of changes that a watch delivers.
    *
-   * @param items the items of the range in key order, or the changes in the order of their commits
+   * @param items the items of the range in key order, or the changes in the order of their
+   *     revisions
    * @param more whether the range continues after these items; false for changes
    * @param revision the revision of the store that the response reflects
    */
@@ -159,7 +161,9 @@
   }
 
   /**
-   * Reads the changes that a watch delivers; there are none if the watch timed out.
+   * Reads the changes that a watch delivers; there are none if the watch timed out. The protocol
+   * does not define the order in which the response lists them, so they are sorted by revision: the
+   * last change of a key determines its state.
    *
    * @throws MalformedMessageException if a field is missing or invalid
    */
@@ -171,6 +175,7 @@
         changes.add(readEvent(event));
       }
     }
+    changes.sort(Comparator.comparingLong(KeyValue::version));
     return new Page(changes, false, in.count(StoreFields.REVISION));
   }
 
--- a/src/test/java/madderrudder/sim/SimStore.java
+++ b/src/test/java/madderrudder/sim/SimStore.java
@@ -3,10 +3,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -69,6 +71,30 @@
   /** The number of delayed transactions that failed, since their conditions no longer held. */
   int lateConflicts;
 
+  private EventOrder eventOrder = EventOrder.OLDEST_FIRST;
+
+  /** The order in which a response to a watch lists the changes; the protocol defines none. */
+  enum EventOrder {
+    OLDEST_FIRST {
+      @Override
+      void arrange(List<Event> oldestFirst) {}
+    },
+    NEWEST_FIRST {
+      @Override
+      void arrange(List<Event> oldestFirst) {
+        Collections.reverse(oldestFirst);
+      }
+    },
+    ANY {
+      @Override
+      void arrange(List<Event> oldestFirst) {
+        Collections.shuffle(oldestFirst, new Random(oldestFirst.size()));
+      }
+    };
+
+    abstract void arrange(List<Event> oldestFirst);
+  }
+
   private record Entry(byte[] data, long version, long lease) {}
 
   private record Event(String key, byte[] data, long revision) {}
@@ -394,6 +420,11 @@
             }));
   }
 
+  /** Lists the changes in this order from now on. */
+  void setEventOrder(EventOrder order) {
+    eventOrder = order;
+  }
+
   private void watch(
       String host, Map<String, String> query, Consumer<HttpResponse> answer, long sentMicros) {
     String prefix = query.get("under");
@@ -406,13 +437,15 @@
             return;
           }
           List<Event> events =
-              eventLog.stream()
-                  .filter(e -> e.revision() > since && e.key().startsWith(prefix))
-                  .toList();
+              new ArrayList<>(
+                  eventLog.stream()
+                      .filter(e -> e.revision() > since && e.key().startsWith(prefix))
+                      .toList());
           if (events.isEmpty() && scheduler.nowMicros < expiresMicros) {
             return;
           }
           answered[0] = true;
+          eventOrder.arrange(events);
           answer.accept(
               ok(
                   out -> {
