Split the pending heartbeats from HeartbeatEndpoint; one manual scheduler for tests

Behaviour is as before.

CloudClientTest and HeartbeatForwarderTest had the same scheduler of their own; ManualScheduler serves both. TaskReconcilerTest named the nine bounds of its model three times; its cases are the same numbers as Bounds.

--- a/src/main/java/madderrudder/service/HeartbeatEndpoint.java
+++ b/src/main/java/madderrudder/service/HeartbeatEndpoint.java
@@ -3,10 +3,8 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import madderrudder.coordination.membership.HeartbeatDelegate;
@@ -32,12 +30,6 @@
 final class HeartbeatEndpoint {
   private static final Logger LOG = LoggerFactory.getLogger(HeartbeatEndpoint.class);
 
-  /**
-   * How long a heartbeat may stay pending. It is less than the 4 s that a worker waits for a
-   * response, so that there is time to forward the heartbeat afterwards.
-   */
-  private static final long MAX_PENDING_MICROS = 2_500_000;
-
   private static final long PENDING_CHECK_PERIOD_MICROS = 50_000;
 
   private final Dependencies dependencies;
@@ -49,10 +41,7 @@
   private final boolean delegationEnabled;
   private final long maxLeaderChangeMicros;
 
-  /** Limits the connections that pending heartbeats occupy, since users and peers need some too. */
-  private final int maxPendingHeartbeats;
-
-  private final Set<ReceivedHeartbeat> pendingHeartbeats = new LinkedHashSet<>();
+  private final PendingHeartbeats pendingHeartbeats;
   private final MalformedMessageLog malformedLog = new MalformedMessageLog(LOG, "heartbeat");
 
   /**
@@ -67,16 +56,6 @@
 
   private long delegatedResponses;
 
-  /**
-   * A heartbeat that is not answered yet.
-   *
-   * @param heartbeat the decoded heartbeat
-   * @param body the encoded heartbeat as the worker sent it
-   * @param callback receives the response
-   */
-  private record ReceivedHeartbeat(
-      Heartbeat heartbeat, byte[] body, Consumer<HttpResponse> callback) {}
-
   /**
    * The components that the endpoint uses.
    *
@@ -116,7 +95,8 @@
     forwarder = dependencies.forwarder();
     this.delegationEnabled = delegationEnabled;
     this.maxLeaderChangeMicros = maxLeaderChangeMicros;
-    maxPendingHeartbeats = maxSockets / 2;
+    // Users and peers need connections too.
+    pendingHeartbeats = new PendingHeartbeats(scheduler, maxSockets / 2, this::dispatch);
     lastResponderKnownMicros = scheduler.nowMicros();
   }
 
@@ -142,9 +122,7 @@
       return;
     }
     ReceivedHeartbeat received = new ReceivedHeartbeat(heartbeat, body, callback);
-    if (!isResponderKnown() && pendingHeartbeats.size() < maxPendingHeartbeats) {
-      hold(received);
-    } else {
+    if (isResponderKnown() || !pendingHeartbeats.tryHold(received)) {
       dispatch(received);
     }
   }
@@ -161,23 +139,6 @@
     return heartbeat;
   }
 
-  /**
-   * Holds a heartbeat until it is known which controller answers it, or for {@link
-   * #MAX_PENDING_MICROS} at most. While there is no leader, or the leader here has not read the
-   * stored state, a redirected worker would retry after 1 s at the earliest, while its lease is
-   * running out.
-   */
-  private void hold(ReceivedHeartbeat received) {
-    pendingHeartbeats.add(received);
-    scheduler.runAfter(
-        MAX_PENDING_MICROS,
-        () -> {
-          if (pendingHeartbeats.remove(received)) {
-            dispatch(received);
-          }
-        });
-  }
-
   /** Whether a leader is known and, if this controller leads, is ready to answer heartbeats. */
   private boolean isResponderKnown() {
     return localLeader.isLeading()
@@ -190,11 +151,7 @@
       return;
     }
     lastResponderKnownMicros = scheduler.nowMicros();
-    if (!pendingHeartbeats.isEmpty()) {
-      List<ReceivedHeartbeat> held = List.copyOf(pendingHeartbeats);
-      pendingHeartbeats.clear();
-      held.forEach(this::dispatch);
-    }
+    pendingHeartbeats.dispatchAll();
   }
 
   private void dispatch(ReceivedHeartbeat received) {
@@ -265,7 +222,7 @@
     }
     delegatedResponses++;
     long token = FencingToken.tokenForAnswer(received.heartbeat().token(), delegate.grantTerm());
-    respond(received, WorkerCodec.heartbeatResponse(token, List.of()));
+    received.answer(WorkerCodec.heartbeatResponse(token, List.of()));
   }
 
   private void forward(String leader, ReceivedHeartbeat received) {
@@ -313,19 +270,15 @@
 
   private void respondOrRedirect(ReceivedHeartbeat received, Optional<byte[]> response) {
     if (response.isPresent()) {
-      respond(received, response.get());
+      received.answer(response.get());
     } else {
       redirect(received);
     }
   }
 
-  private static void respond(ReceivedHeartbeat received, byte[] body) {
-    received.callback().accept(HttpResponse.of(200, body));
-  }
-
   private void redirect(ReceivedHeartbeat received) {
     String otherLeader =
         election.leader().filter(leader -> !leader.equals(dependencies.member())).orElse(null);
-    received.callback().accept(HttpResponse.of(421, WorkerCodec.redirect(otherLeader)));
+    received.redirect(WorkerCodec.redirect(otherLeader));
   }
 }
--- a/src/test/java/madderrudder/coordination/cloud/CloudClientTest.java
+++ b/src/test/java/madderrudder/coordination/cloud/CloudClientTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import madderrudder.transport.HttpRequest;
 import madderrudder.transport.HttpResponse;
-import madderrudder.transport.Scheduler;
+import madderrudder.transport.ManualScheduler;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -19,34 +19,12 @@
   private final List<HttpRequest> sent = new ArrayList<>();
   private CloudClient cloud;
 
-  /** A clock that does not advance and runs no timers, so that a queued call is never sent. */
-  private static final class StoppedClock implements Scheduler {
-    @Override
-    public long nowMicros() {
-      return 0;
-    }
-
-    @Override
-    public long wallClockMicros() {
-      return 0;
-    }
-
-    @Override
-    public Timer runAfter(long delayMicros, Runnable action) {
-      return () -> {};
-    }
-
-    @Override
-    public void execute(Runnable action) {
-      action.run();
-    }
-  }
-
   @BeforeEach
   void createClient() {
     cloud =
         new CloudClient(
-            new StoppedClock(),
+            // No test runs its timers, so that a queued call is never sent.
+            new ManualScheduler(),
             (address, request, timeoutMicros, onResponse) -> {
               sent.add(request);
               onResponse.accept(HttpResponse.of(200, new byte[] {'{', '}'}));
--- a/src/test/java/madderrudder/coordination/reconciliation/TaskReconcilerTest.java
+++ b/src/test/java/madderrudder/coordination/reconciliation/TaskReconcilerTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against a task that runs on two machines at once, or a completion that is lost, after a
@@ -40,32 +41,18 @@
    */
   private static final int STATES = Integer.getInteger("states", 150_000);
 
+  static Stream<Bounds> boundsOfExplorations() {
+    return Stream.of(
+        new Bounds(1, 3, 4, 2, 2, 2, 1, 0, 0, STATES),
+        new Bounds(1, 2, 3, 1, 2, 2, 2, 0, 1, STATES),
+        new Bounds(2, 3, 2, 1, 2, 1, 1, 0, 0, STATES),
+        new Bounds(1, 3, 4, 1, 2, 2, 1, 2, 1, STATES));
+  }
+
   @ParameterizedTest
-  @CsvSource({"1,3,4,2,2,2,1,0,0", "1,2,3,1,2,2,2,0,1", "2,3,2,1,2,1,1,0,0", "1,3,4,1,2,2,1,2,1"})
-  void taskNeverRunsTwiceInBreadthFirstExploration(
-      int tasks,
-      int terms,
-      int heartbeats,
-      int epochs,
-      int attempts,
-      int heartbeatsInFlight,
-      int startsInFlight,
-      int copies,
-      int exits) {
-    ReconciliationModel model =
-        new ReconciliationModel(
-            new Bounds(
-                tasks,
-                terms,
-                heartbeats,
-                epochs,
-                attempts,
-                heartbeatsInFlight,
-                startsInFlight,
-                copies,
-                exits,
-                STATES),
-            Fault.NONE);
+  @MethodSource("boundsOfExplorations")
+  void taskNeverRunsTwiceInBreadthFirstExploration(Bounds bounds) {
+    ReconciliationModel model = new ReconciliationModel(bounds, Fault.NONE);
     assertNull(model.explore());
     assertTrue(model.visitedStates() > STATES / 8, "only " + model.visitedStates() + " states");
   }
@@ -73,33 +60,18 @@
   /** The number of random sequences of events. */
   private static final int RANDOM_SEQUENCES = Integer.getInteger("courses", 8_000);
 
+  static Stream<Bounds> boundsOfRandomSequences() {
+    return Stream.of(
+        new Bounds(1, 3, 12, 3, 3, 3, 2, 0, 1, 0),
+        new Bounds(2, 4, 12, 3, 3, 3, 2, 0, 1, 0),
+        new Bounds(1, 4, 14, 2, 3, 3, 2, 8, 3, 0));
+  }
+
   /** Random sequences of events that are too long for an exhaustive exploration. */
   @ParameterizedTest
-  @CsvSource({"1,3,12,3,3,3,2,0,1", "2,4,12,3,3,3,2,0,1", "1,4,14,2,3,3,2,8,3"})
-  void taskNeverRunsTwiceInLongRandomSequences(
-      int tasks,
-      int terms,
-      int heartbeats,
-      int epochs,
-      int attempts,
-      int heartbeatsInFlight,
-      int startsInFlight,
-      int copies,
-      int exits) {
-    ReconciliationModel model =
-        new ReconciliationModel(
-            new Bounds(
-                tasks,
-                terms,
-                heartbeats,
-                epochs,
-                attempts,
-                heartbeatsInFlight,
-                startsInFlight,
-                copies,
-                exits,
-                0),
-            Fault.NONE);
+  @MethodSource("boundsOfRandomSequences")
+  void taskNeverRunsTwiceInLongRandomSequences(Bounds bounds) {
+    ReconciliationModel model = new ReconciliationModel(bounds, Fault.NONE);
     assertNull(model.exploreRandomly(1, RANDOM_SEQUENCES, 60));
     assertTrue(
         model.visitedStates() > 30 * RANDOM_SEQUENCES, "only " + model.visitedStates() + " steps");
--- a/src/test/java/madderrudder/service/HeartbeatForwarderTest.java
+++ b/src/test/java/madderrudder/service/HeartbeatForwarderTest.java
@@ -14,8 +14,8 @@
 import madderrudder.protocol.PeerMessage.ForwardedHeartbeat;
 import madderrudder.protocol.PeerMessage.ForwardedResponse;
 import madderrudder.protocol.PeerMessageCodec;
+import madderrudder.transport.ManualScheduler;
 import madderrudder.transport.PeerMessenger;
-import madderrudder.transport.Scheduler;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -26,35 +26,12 @@
   private static final String MEMBER = "n-1";
   private static final String LEADER = "n-0";
 
-  private final List<Runnable> timeouts = new ArrayList<>();
   private final List<PeerMessage> sent = new ArrayList<>();
 
   /** What the workers got, in the order in which they got it. */
   private final List<String> outcomes = new ArrayList<>();
 
-  private final Scheduler scheduler =
-      new Scheduler() {
-        @Override
-        public long nowMicros() {
-          return 0;
-        }
-
-        @Override
-        public long wallClockMicros() {
-          return 0;
-        }
-
-        @Override
-        public Timer runAfter(long delayMicros, Runnable action) {
-          timeouts.add(action);
-          return () -> timeouts.remove(action);
-        }
-
-        @Override
-        public void execute(Runnable action) {
-          action.run();
-        }
-      };
+  private final ManualScheduler scheduler = new ManualScheduler();
 
   private final PeerMessenger messenger =
       new PeerMessenger() {
@@ -146,7 +123,7 @@
   void responseAfterTimeoutIsIgnoredAndCountedAsOfThisProcess() {
     HeartbeatForwarder forwarder = process(7);
     ForwardedHeartbeat heartbeat = forward(forwarder, "m-1");
-    timeouts.forEach(Runnable::run);
+    scheduler.runTimers();
     forwarder.receive(responseOfLeader(heartbeat, "late"));
     assertEquals(List.of("m-1 timeout"), outcomes);
     assertEquals(1, counter(forwarder, "forwarded_responses_ignored"));
