--- a/review/lib-2/ServiceAfterErrors.java
+++ b/review/lib-2/ServiceAfterErrors.java
@@ -53,6 +53,8 @@
       complete = missing(w).isEmpty();
       if ((int) (w.seconds() * 10) % 100 == 0) {
         w.poll(user, w.anyNode(random), JOB);
+        long empty = w.machines.values().stream().filter(m -> m.activeTasks().isEmpty()).count();
+        w.note("case", "machines", "empty", empty, "missing", missing(w));
       }
       World.sleep(100);
     }
