--- a/review/lib-2/GangBlocks.java
+++ b/review/lib-2/GangBlocks.java
@@ -75,6 +75,12 @@
     boolean done = w.within(begun ? 10 : 0.1, () -> w.checker.allDone(JOB));
     w.note("case", "the job", "begun", begun, "done", done, "after s",
         String.format("%.1f", w.seconds() - from));
+    if (!begun) {
+      // For the record only: what the job waited for.
+      w.withdraw(user, w.leader(), GANG);
+      boolean begins = w.within(4, () -> w.checker.machineOf(JOB + "/0") != null);
+      w.note("case", "once the gang is called off", "the job begins", begins);
+    }
     return done && w.checker.violations.isEmpty();
   }
 }
