Review case 5: leave time for slower machines

Cause: on a slow machine the lines after the verdict could pass 118 s. Change: shorter waits at the start, and the call-off only if there is time; the check is as before.

--- a/review/lib-2/GangBlocks.java
+++ b/review/lib-2/GangBlocks.java
@@ -40,7 +40,7 @@
     }
     w.startAll();
     w.await("all controllers are healthy", 30, () -> w.members.stream().allMatch(w::isHealthy));
-    World.sleep(2000);
+    World.sleep(1000);
     Map<String, Object> service = w.newJob(SERVICE, "service", 1, 12, 0);
     service.put("crew", "taitto-01");
     accept(w, service);
@@ -49,7 +49,7 @@
     gang.put("rank", "urgent");
     accept(w, gang);
     w.await("the gang runs", 20, () -> on(w, GANG, 3));
-    World.sleep(1000);
+    World.sleep(500);
     if (World.TROUBLE) {
       w.cloud.fail(w.checker.machineOf(GANG + "/2").id);
       w.await("the gang has ended everywhere", 20, () -> w.checker.machineOf(GANG + "/0") == null);
@@ -75,10 +75,10 @@
     boolean done = w.within(begun ? 10 : 0.1, () -> w.checker.allDone(JOB));
     w.note("case", "the job", "begun", begun, "done", done, "after s",
         String.format("%.1f", w.seconds() - from));
-    if (!begun) {
+    if (!begun && w.seconds() < 114) {
       // For the record only: what the job waited for.
       w.withdraw(user, w.leader(), GANG);
-      boolean begins = w.within(4, () -> w.checker.machineOf(JOB + "/0") != null);
+      boolean begins = w.within(2, () -> w.checker.machineOf(JOB + "/0") != null);
       w.note("case", "once the gang is called off", "the job begins", begins);
     }
     return done && w.checker.violations.isEmpty();
